--- /dev/null
+++ b/packages/logger/src/events/membershipEvents.ts
@@ -0,0 +1,7 @@
+/**
+ * Log events 4000 to 4999: membership.
+ */
+import {defineEvents} from '../eventDefinition.js';
+
+/** Events of membership. */
+export const membershipEvents = defineEvents({});
--- /dev/null
+++ b/packages/membership/src/membership.ts
@@ -0,0 +1,20 @@
+/**
+ * The members of the system as this process sees them.
+ */
+import type {LoadSummary, Member, MemberState} from '@filbertwell/types/member';
+import type {Observable} from 'rxjs';
+
+/** Live view of the members and this process's own announcement. */
+export type Membership = {
+	/** This process as its peers will see it. */
+	readonly self: () => Member;
+	/** All members that are not known to be gone, this process included, ordered by id. */
+	readonly members: () => readonly Member[];
+	/** Emits the members after each change. */
+	readonly changes: Observable<readonly Member[]>;
+	readonly announceState: (state: MemberState) => void;
+	readonly announceConfiguration: (version: number) => void;
+	readonly announceLoad: (load: LoadSummary) => void;
+	/** Stops heartbeats and closes the channel. */
+	readonly stop: () => Promise<void>;
+};
--- /dev/null
+++ b/packages/steering/src/steering.ts
@@ -0,0 +1,28 @@
+/**
+ * Where this entry's requests go: the split between availability zones, moved under the shift caps.
+ */
+import type {AvailabilityZoneName} from '@filbertwell/types/place';
+import type {ShiftProgress, Split} from '@filbertwell/types/split';
+
+/** What the request path tells steering about one zone of one service. */
+export type ZoneCondition = {
+	readonly service: string;
+	readonly availabilityZone: AvailabilityZoneName;
+	/** Free slots over all slots of the zone's usable endpoints, from 0 to 1. */
+	readonly headroom: number;
+	/** Whether no endpoint of the zone answers. */
+	readonly failed: boolean;
+	/** Median time to first byte over its long-run value; 1 when steady. */
+	readonly latencyRatio: number;
+};
+
+/** The split of this entry's traffic. */
+export type Steering = {
+	/** Chooses a zone for the next request, spreading requests evenly by the current split. */
+	readonly chooseZone: (service: string) => AvailabilityZoneName | undefined;
+	readonly split: (service: string) => Split | undefined;
+	readonly progress: () => readonly ShiftProgress[];
+	/** Latest conditions, given about once a second. */
+	readonly observe: (conditions: readonly ZoneCondition[]) => void;
+	readonly stop: () => void;
+};
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,11 @@
+import {defineConfig} from 'vitest/config';
+
+export default defineConfig({
+	test: {
+		include: ['packages/*/src/**/__tests__/**/*.test.ts', 'examples/*/src/**/__tests__/**/*.test.ts'],
+		testTimeout: 30_000,
+		hookTimeout: 30_000,
+		pool: 'forks',
+		maxWorkers: 6,
+	},
+});
