--- /dev/null
+++ b/packages/routing/src/createRouter.ts
@@ -0,0 +1,176 @@
+/**
+ * The router of an entry: one router for each service, caps of the links that they share, and
+ * what is told to steering, to heartbeats and to the admin page.
+ */
+import type {Logger} from '@filbertwell/logger/logger';
+import {routingEvents} from '@filbertwell/logger/events/routingEvents';
+import type {Metrics} from '@filbertwell/metrics/metrics';
+import type {Configuration} from '@filbertwell/types/configuration';
+import {type RequestClass, requestClasses} from '@filbertwell/types/intent';
+import type {LoadReport} from '@filbertwell/types/loadReport';
+import type {Clock} from '@filbertwell/utils/clock';
+import type {Random} from '@filbertwell/utils/random';
+import type {Send} from './attempt.js';
+import {drainedEndpoints} from './drainedEndpoints.js';
+import type {SlotDivision} from './endpointChoice.js';
+import type {EndpointTracker} from './endpointTracker.js';
+import {createLinkCaps} from './linkCap.js';
+import type {Self} from './localityOrder.js';
+import type {RoutedRequest, RouteOutcome} from './routedRequest.js';
+import {type Schedule, scheduleTimeout} from './scheduler.js';
+import {type ServiceRouter, createServiceRouter} from './serviceRouter.js';
+import type {SharingEntry} from './slotOwnership.js';
+import {type ZoneCondition, conditionsOf} from './zoneConditions.js';
+import {type ServiceState, stateOf} from './routerState.js';
+
+/** Parameters of a router. */
+export type RouterOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Logger;
+	readonly metrics: Pick<Metrics, 'increment'>;
+	/** This entry. */
+	readonly self: Self;
+	/** Zone of the next request by steering; `undefined` leaves the choice to locality. */
+	readonly chooseZone: (service: string) => string | undefined;
+	/** Timers; those of the process by default. */
+	readonly schedule?: Schedule;
+	/** How slots are divided between entries; `borrowed` by default. */
+	readonly slotDivision?: SlotDivision;
+};
+
+/** Routes requests to endpoints. */
+export type Router = {
+	/** Puts a configuration in force. */
+	readonly configure: (configuration: Configuration) => void;
+	/** Tells which entries share the endpoints, this one included. */
+	readonly setEntries: (entries: readonly SharingEntry[]) => void;
+	readonly route: <Answer>(request: RoutedRequest, send: Send<Answer>) => Promise<RouteOutcome<Answer>>;
+	/** Takes in a load report that came apart from an answer. */
+	readonly observeReport: (endpointId: string, report: LoadReport, atMs: number) => void;
+	/** Names the endpoints that the instance list shows as leaving; replaces the earlier ones. */
+	readonly setLeaving: (endpointIds: Iterable<string>) => void;
+	/** Endpoints whose latest report is older than this, to be asked for one. */
+	readonly quietEndpoints: (ageMs: number) => ReadonlyArray<EndpointTracker['endpoint']>;
+	readonly conditions: () => readonly ZoneCondition[];
+	/** Requests in flight and waiting, for heartbeats. */
+	readonly load: () => {readonly inFlight: number; readonly queued: number};
+	readonly state: () => readonly ServiceState[];
+};
+
+const defaultWeight = 1;
+
+/**
+ * Creates a router. Before `configure` it refuses every request as not run.
+ *
+ * @param options - Clock, random numbers, this entry and hooks.
+ * @returns The router.
+ */
+export const createRouter = (options: RouterOptions): Router => {
+	const {clock, random, log, metrics, self, chooseZone, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
+	const linkCaps = createLinkCaps(clock, self.region);
+	const services = new Map<string, ServiceRouter>();
+	let weights: ReadonlyMap<string, number> = new Map();
+	let entries: readonly SharingEntry[] = [self];
+	let configuration: Configuration | undefined;
+	let leaving: ReadonlySet<string> = new Set();
+
+	const isListedLeaving = (endpointId: string) => leaving.has(endpointId);
+
+	const createService = (service: string): ServiceRouter => createServiceRouter({
+		clock,
+		random,
+		schedule,
+		self,
+		linkCaps,
+		division: slotDivision,
+		chooseZone: () => chooseZone(service),
+		weightOf: tenant => weights.get(tenant) ?? defaultWeight,
+		onAttempt(cause) {
+			metrics.increment('attempts_total', {service, cause});
+		},
+		onHealthChange(endpoint, state, reason) {
+			metrics.increment('endpoint_health_changes_total', {service, endpoint, state});
+			log(state === 'ejected' ? routingEvents.endpointEjected : routingEvents.endpointRecovered, {service, endpoint, reason});
+		},
+	});
+
+	const configureServices = ({intent}: Configuration) => {
+		const regions = new Map(intent.regions.flatMap(({name, availabilityZones}) => availabilityZones.map(zone => [zone, name] as const)));
+		const drained = drainedEndpoints(intent);
+		weights = new Map(intent.tenants.map(({name, weight}) => [name, weight]));
+		linkCaps.configure(intent.linkCaps, region => entries.filter(entry => entry.region === region).length);
+		for (const service of intent.services) {
+			const router = services.get(service.name) ?? createService(service.name);
+			services.set(service.name, router);
+			router.configure({
+				service, entries, drained, regionOf: zone => regions.get(zone),
+			});
+			router.setListedLeaving(isListedLeaving);
+		}
+
+		const named = new Set(intent.services.map(({name}) => name));
+		for (const name of services.keys()) {
+			if (!named.has(name)) {
+				services.delete(name);
+			}
+		}
+	};
+
+	const reconfigure = () => {
+		if (configuration !== undefined) {
+			configureServices(configuration);
+		}
+	};
+
+	const allTrackers = () => [...services.values()].flatMap(router => router.trackers());
+
+	const queuedBy = (requestClass: RequestClass) => [...services.values()].reduce((total, router) => total + router.queued(requestClass), 0);
+
+	return {
+		configure(newConfiguration) {
+			configuration = newConfiguration;
+			reconfigure();
+		},
+		setEntries(newEntries) {
+			entries = newEntries.some(({id}) => id === self.id) ? newEntries : [...newEntries, self];
+			reconfigure();
+		},
+		async route(request, send) {
+			const router = services.get(request.service);
+			const outcome = router === undefined
+				? {
+					kind: 'not-run', reason: 'unknownService', detail: `no service "${request.service}" is configured`, attempts: 0,
+				} as const
+				: await router.route(request, send);
+			if (outcome.kind === 'not-run') {
+				metrics.increment('refusals_total', {service: request.service, class: request.route.requestClass, reason: outcome.reason});
+			}
+
+			return outcome;
+		},
+		observeReport(endpointId, report, atMs) {
+			for (const router of services.values()) {
+				const tracker = router.trackers().find(({endpoint}) => endpoint.id === endpointId);
+				if (tracker !== undefined) {
+					tracker.observeReport(report, atMs);
+					tracker.health.recordReachable();
+					router.startReady();
+				}
+			}
+		},
+		setLeaving(endpointIds) {
+			leaving = new Set(endpointIds);
+			for (const router of services.values()) {
+				router.setListedLeaving(isListedLeaving);
+			}
+		},
+		quietEndpoints: ageMs => allTrackers().filter(tracker => tracker.reportAgeMs() > ageMs).map(({endpoint}) => endpoint),
+		conditions: () => [...services].flatMap(([service, router]) => conditionsOf(service, router.trackers())),
+		load: () => ({
+			inFlight: [...services.values()].reduce((total, router) => total + router.inFlight(), 0),
+			queued: requestClasses.reduce((total, requestClass) => total + queuedBy(requestClass), 0),
+		}),
+		state: () => [...services].map(([service, router]) => stateOf(service, router)),
+	};
+};
--- /dev/null
+++ b/packages/routing/src/outlierDetection.ts
@@ -0,0 +1,137 @@
+/**
+ * Health of one endpoint by what this entry itself sees; reports play no part, since they lag
+ * and mislead. Seen are failures to connect, failed attempts, and the time to the first byte
+ * over the median of its route. A cancelled attempt counts by the time it had already taken,
+ * or hedges would hide the slowness of the endpoint that they rescue requests from.
+ *
+ * `healthy` -> `ejected` when it cannot be reached, when over half of its recent attempts
+ * failed, or when it is several times slower than the median. An ejected endpoint gets one
+ * probe request at a time, at intervals that double; good probes bring it back in a slow start.
+ */
+import type {Clock} from '@filbertwell/utils/clock';
+import {slowStartShare} from './slowStart.js';
+
+/** What health says of an endpoint. */
+export type HealthState = 'healthy' | 'ejected';
+
+/** Why an endpoint was ejected. */
+export type EjectionReason = 'unreachable' | 'failing' | 'slow';
+
+/** Health of one endpoint. */
+export type EndpointHealth = {
+	readonly state: () => HealthState;
+	readonly reason: () => EjectionReason | undefined;
+	/** Whether an ejected endpoint may get a probe request now. */
+	readonly probeIsDue: () => boolean;
+	readonly recordProbe: () => void;
+	/** Moving average of the time to first byte over the usual time of the route; 1 is usual. */
+	readonly slowness: () => number;
+	/** Share of its usual work, from 0 to 1, below 1 in a slow start. */
+	readonly share: () => number;
+	readonly recordAnswer: (slowness: number) => void;
+	/** Records an attempt that was ended after a time without an answer. */
+	readonly recordUnanswered: (slowness: number) => void;
+	readonly recordFailure: () => void;
+	readonly recordUnreachable: () => void;
+	/** Records that the endpoint could be reached for its load report. */
+	readonly recordReachable: () => void;
+};
+
+/** Called when the state changes. */
+export type HealthChange = (state: HealthState, reason: EjectionReason | undefined) => void;
+
+const slownessWeight = 0.25;
+const largestSample = 10;
+const ejectionSlowness = 3;
+const recoverySlowness = 2;
+const failureWeight = 0.2;
+const ejectionFailureRate = 0.5;
+const recoveryFailureRate = 0.3;
+const minimumAttempts = 5;
+const firstProbeMs = 1000;
+const lastProbeMs = 16_000;
+
+/**
+ * Creates the health of an endpoint.
+ *
+ * @param clock - Monotonic milliseconds.
+ * @param isNew - Whether it starts with a slow start.
+ * @param onChange - Told of each change of state.
+ * @returns The health, starting as healthy.
+ */
+export const createEndpointHealth = (clock: Clock, isNew: boolean, onChange: HealthChange): EndpointHealth => {
+	let ejection: EjectionReason | undefined;
+	let slowness = 1;
+	let failureRate = 0;
+	let attempts = 0;
+	let probeMs = firstProbeMs;
+	let nextProbeAtMs = 0;
+	let rampFromMs = isNew ? clock() : undefined;
+
+	const eject = (reason: EjectionReason) => {
+		const isFirst = ejection === undefined;
+		ejection = reason;
+		probeMs = isFirst ? firstProbeMs : Math.min(lastProbeMs, probeMs * 2);
+		nextProbeAtMs = clock() + probeMs;
+		if (isFirst) {
+			onChange('ejected', reason);
+		}
+	};
+
+	const recover = () => {
+		ejection = undefined;
+		rampFromMs = clock();
+		attempts = 0;
+		failureRate = 0;
+		onChange('healthy', undefined);
+	};
+
+	const judge = () => {
+		if (slowness > ejectionSlowness) {
+			eject('slow');
+		} else if (attempts >= minimumAttempts && failureRate > ejectionFailureRate) {
+			eject('failing');
+		} else if (ejection !== undefined && slowness < recoverySlowness && failureRate < recoveryFailureRate) {
+			recover();
+		}
+	};
+
+	const observe = (sample: number, failed: number) => {
+		// A probe is worth more than a sample among many, since there are few of them.
+		const factor = ejection === undefined ? 1 : 2;
+		attempts += 1;
+		slowness += factor * slownessWeight * (Math.min(largestSample, sample) - slowness);
+		failureRate += factor * failureWeight * (failed - failureRate);
+		judge();
+	};
+
+	return {
+		state: () => ejection === undefined ? 'healthy' : 'ejected',
+		reason: () => ejection,
+		probeIsDue: () => ejection !== undefined && clock() >= nextProbeAtMs,
+		recordProbe() {
+			nextProbeAtMs = clock() + probeMs;
+		},
+		slowness: () => slowness,
+		share: () => slowStartShare(rampFromMs === undefined ? undefined : clock() - rampFromMs),
+		recordAnswer(sample) {
+			observe(sample, 0);
+		},
+		recordUnanswered(sample) {
+			if (sample > slowness) {
+				observe(sample, failureRate);
+			}
+		},
+		recordFailure() {
+			observe(slowness, 1);
+		},
+		recordUnreachable() {
+			eject('unreachable');
+		},
+		recordReachable() {
+			if (ejection === 'unreachable') {
+				recover();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/routing/src/serviceRouter.ts
@@ -0,0 +1,234 @@
+/**
+ * Routing of one service: its queue, endpoints, learned durations and budgets.
+ */
+import type {Clock} from '@filbertwell/utils/clock';
+import type {RequestClass} from '@filbertwell/types/intent';
+import {canMeetDeadline} from './admission.js';
+import type {AttemptCause, Send} from './attempt.js';
+import {createAttemptBudget, hedgeShare, retryShare} from './attemptBudget.js';
+import {type Waiter, createClassQueue} from './classQueue.js';
+import {type RouteDuration, createServiceDurations} from './durationEstimate.js';
+import type {Need} from './endpointChoice.js';
+import {type PoolLayout, type PoolOptions, createEndpointPool} from './endpointPool.js';
+import type {EndpointTracker} from './endpointTracker.js';
+import {type Tier, localityOrder} from './localityOrder.js';
+import {type Refusal, runRequest} from './requestRun.js';
+import type {RefusalReason, RoutedRequest, RouteOutcome} from './routedRequest.js';
+import type {Lease} from './runningAttempt.js';
+import type {Schedule} from './scheduler.js';
+
+/** Routing of one service. */
+export type ServiceRouter = {
+	readonly configure: (layout: PoolLayout) => void;
+	readonly route: <Answer>(request: RoutedRequest, send: Send<Answer>) => Promise<RouteOutcome<Answer>>;
+	readonly trackers: () => readonly EndpointTracker[];
+	readonly setListedLeaving: (isLeaving: (endpointId: string) => boolean) => void;
+	/** Starts waiting requests for which there is room by now. */
+	readonly startReady: () => void;
+	readonly queued: (requestClass: RequestClass) => number;
+	readonly inFlight: () => number;
+};
+
+/** Parameters of a service's router. */
+export type ServiceRouterOptions = PoolOptions & {
+	readonly schedule: Schedule;
+	readonly chooseZone: () => string | undefined;
+	readonly weightOf: (tenant: string) => number;
+	readonly onAttempt: (cause: AttemptCause) => void;
+};
+
+/** Room that other entries leave shows only in reports, so a waiting queue looks again. */
+const lookAgainMs = 10;
+
+const refusal = (reason: RefusalReason, detail: string): Refusal => ({kind: 'refused', reason, detail});
+
+/**
+ * Creates the router of a service.
+ *
+ * @param options - Clock, timers, choice and hooks.
+ * @returns The router, which refuses all requests before `configure`.
+ */
+export const createServiceRouter = (options: ServiceRouterOptions): ServiceRouter => {
+	const {clock, schedule, self, linkCaps, chooseZone, weightOf, onAttempt} = options;
+	const pool = createEndpointPool(options);
+	const durations = createServiceDurations();
+	const queue = createClassQueue(weightOf);
+	const retryBudget = createAttemptBudget(retryShare);
+	const hedgeBudget = createAttemptBudget(hedgeShare);
+	const tiersByZone = new Map<string, readonly Tier[]>();
+	let inFlight = 0;
+	let longInFlight = 0;
+	let isLookingAgain = false;
+
+	const tiersFor = (zone: string | undefined): readonly Tier[] => {
+		const key = zone ?? '';
+		const known = tiersByZone.get(key);
+		const tiers = known ?? localityOrder(pool.trackers(), self, zone);
+		tiersByZone.set(key, tiers);
+		return tiers;
+	};
+
+	const lease = (tracker: EndpointTracker, duration: RouteDuration): Lease => {
+		const isLong = duration.isLong();
+		const flight = {
+			startedAtMs: clock(), expectedMs: duration.firstByte(tracker.region).medianMs(), isLong, hasAnswer: false,
+		};
+		tracker.start(flight);
+		inFlight += 1;
+		longInFlight += isLong ? 1 : 0;
+		let isReleased = false;
+		return {
+			tracker,
+			flight,
+			release() {
+				if (!isReleased) {
+					isReleased = true;
+					tracker.end(flight);
+					inFlight -= 1;
+					longInFlight -= isLong ? 1 : 0;
+					queue.startReady();
+				}
+			},
+		};
+	};
+
+	const tryLease = (need: Need, duration: RouteDuration): Lease | undefined => {
+		const tracker = pool.choose(need);
+		return tracker === undefined ? undefined : lease(tracker, duration);
+	};
+
+	const lookAgain = () => {
+		isLookingAgain = false;
+		queue.startReady();
+		lookAgainLater();
+	};
+
+	const lookAgainLater = () => {
+		if (!isLookingAgain && queue.size() > 0) {
+			isLookingAgain = true;
+			schedule(lookAgainMs, lookAgain);
+		}
+	};
+
+	const wait = async (request: RoutedRequest, need: Need, duration: RouteDuration, lane: string): Promise<Lease | Refusal> => {
+		const expectedMs = duration.meanHeldMs();
+		return new Promise(resolve => {
+			const finish = (result: Lease | Refusal) => {
+				cancelTimer();
+				request.signal.removeEventListener('abort', leave);
+				resolve(result);
+			};
+
+			const waiter: Waiter = {
+				tenant: request.tenant,
+				costMs: expectedMs,
+				requestClass: request.route.requestClass,
+				lane,
+				tryStart() {
+					const started = tryLease(need, duration);
+					if (started !== undefined) {
+						finish(started);
+					}
+
+					return started !== undefined;
+				},
+				displaced() {
+					finish(refusal('displaced', 'a request of a higher class or a lighter tenant took its place in the full queue'));
+				},
+			};
+			const leave = () => {
+				queue.remove(waiter);
+				finish(refusal('waitedTooLong', 'the caller has gone'));
+			};
+
+			const cancelTimer = schedule(request.deadlineAtMs - clock() - expectedMs, () => {
+				queue.remove(waiter);
+				finish(refusal('waitedTooLong', 'no endpoint had room while the deadline could still be met'));
+			});
+			request.signal.addEventListener('abort', leave);
+			if (!queue.push(waiter)) {
+				finish(refusal('queueFull', 'too many requests wait for this service'));
+			}
+
+			lookAgainLater();
+		});
+	};
+
+	const acquire = async (request: RoutedRequest, need: Need, duration: RouteDuration, lane: string): Promise<Lease | Refusal> => {
+		const {requestClass} = request.route;
+		const remainingMs = request.deadlineAtMs - clock();
+		const aheadMs = queue.size() === 0 ? 0 : queue.aheadMs({requestClass, lane, tenant: request.tenant});
+		const expectedMs = duration.meanHeldMs();
+		if (remainingMs <= 0) {
+			return refusal('deadlineTooShort', 'the deadline has passed');
+		}
+
+		if (!pool.hasUsable() || need.tiers.length === 0) {
+			return refusal('noEndpoint', 'no endpoint of the service takes new work');
+		}
+
+		const leased = aheadMs === 0 ? tryLease(need, duration) : undefined;
+		if (leased !== undefined) {
+			return leased;
+		}
+
+		const concurrency = need.isLong ? longInFlight : inFlight;
+		return canMeetDeadline({
+			remainingMs, expectedMs, aheadMs, concurrency,
+		})
+			? wait(request, need, duration, lane)
+			: refusal('deadlineTooShort', 'the wait for an endpoint would pass the deadline');
+	};
+
+	const otherZone = ({tracker}: Lease, tiers: readonly Tier[]): string | undefined => {
+		const zone = tracker.endpoint.availabilityZone;
+		return tiers.some(tier => tier.trackers.some(({endpoint}) => endpoint.availabilityZone !== zone)) ? zone : undefined;
+	};
+
+	return {
+		configure(layout) {
+			pool.configure(layout);
+			tiersByZone.clear();
+			queue.startReady();
+		},
+		async route(request, send) {
+			const duration = durations.ofRoute(request.route.name);
+			const zone = chooseZone();
+			const tiers = tiersFor(zone);
+			const isLong = duration.isLong();
+			const lane = `${tiers[0]?.trackers[0]?.region ?? ''}/${isLong ? 'long' : 'short'}`;
+			const needBase = {tiers, isLong, mayProbe: request.route.kind === 'idempotent'};
+			duration.recordArrival();
+			retryBudget.recordRequest();
+			hedgeBudget.recordRequest();
+			return runRequest({
+				clock,
+				schedule,
+				request,
+				duration,
+				send,
+				retryBudget,
+				hedgeBudget,
+				onAttempt,
+				acquire: async excluded => acquire(request, {...needBase, excluded, otherThanZone: undefined}, duration, lane),
+				tryAcquireElsewhere: first => queue.size() > 0
+					? undefined
+					: tryLease({
+						...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
+					}, duration),
+				countBytes(tracker, sent, received) {
+					if (tracker.region !== self.region) {
+						linkCaps.count(tracker.region, sent, received);
+					}
+				},
+			});
+		},
+		trackers: pool.trackers,
+		setListedLeaving(isLeaving) {
+			pool.setLeaving('instanceList', isLeaving);
+		},
+		startReady: queue.startReady,
+		queued: queue.sizeOfClass,
+		inFlight: () => inFlight,
+	};
+};
