--- a/packages/steering/src/__tests__/splitMover.test.ts
+++ b/packages/steering/src/__tests__/splitMover.test.ts
@@ -19,7 +19,7 @@
 
 test('a step moves at most its budgets, gains nothing in held zones and keeps the total', () => {
 	fc.assert(fc.property(splitArbitrary, splitArbitrary, budget, budget, fc.subarray(zones), fc.subarray(zones), (current, target, plannedBudget, failoverBudget, failed, held) => {
-		const heldZones = new Map(held.map(zone => [zone, 'headroom']));
+		const heldZones = new Map<string, ShiftHold>(held.map(zone => [zone, 'headroom']));
 		const {shares} = stepSplit({
 			current, target, plannedBudget, failoverBudget, failedZones: new Set(failed), heldZones,
 		});
