--- /dev/null
+++ b/packages/platform/src/memoryPlatform.ts
@@ -0,0 +1,137 @@
+/**
+ * The platform in memory, with faults on demand, for tests.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {createRandom} from '@filbertwell/utils/random';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
+import {
+	createFaultPlan, type CallAccess, type Fault, type FaultTarget,
+} from './faultPlan.js';
+import {createMemoryState, type MemoryState} from './memoryState.js';
+import type {Platform} from './platform.js';
+import type {PlatformError} from './platformError.js';
+import {objectFault, transactionFault} from './transactionCheck.js';
+
+/** Parameters of the in-memory platform. */
+export type MemoryPlatformOptions = {
+	/** Seed of the faults' probabilities. */
+	readonly seed?: number;
+	/** State to serve; several adapters may share one. */
+	readonly state?: MemoryState;
+};
+
+/** The platform in memory. */
+export type MemoryPlatform = Platform & {
+	readonly state: MemoryState;
+	/** Replaces all faults. */
+	readonly setFaults: (faults: readonly Fault[]) => void;
+};
+
+type Call<Value> = {
+	readonly target: FaultTarget;
+	readonly operation: string;
+	readonly access: CallAccess;
+	/** What is wrong with the call's form, if anything. */
+	readonly formFault?: string | undefined;
+	readonly run: (stale: boolean) => Value;
+};
+
+/**
+ * Creates a platform in memory.
+ *
+ * @param options - Seed and state.
+ * @returns The platform and its faults.
+ */
+export const createMemoryPlatform = ({seed = 1, state = createMemoryState()}: MemoryPlatformOptions = {}): MemoryPlatform => {
+	const plan = createFaultPlan(createRandom(seed));
+	let staleInstances = state.listInstances();
+
+	const perform = async <Value>({target, operation, access, formFault, run}: Call<Value>): Promise<Result<Value, PlatformError>> => {
+		const fail = (kind: PlatformError['kind'], detail: string) => err({kind, operation, detail});
+		// Calls never finish in the turn that starts them, as over a network.
+		await Promise.resolve();
+		if (formFault !== undefined) {
+			return fail('invalid', formFault);
+		}
+
+		const faults = plan.draw(target, access);
+		if (faults.delayMs > 0) {
+			await delay(faults.delayMs);
+		}
+
+		if (faults.paused) {
+			await plan.replaced();
+		}
+
+		if (faults.refused) {
+			return fail('unavailable', 'refused by an injected fault');
+		}
+
+		if (faults.down) {
+			return fail(access === 'read' ? 'unavailable' : 'unknown', 'connection closed by an injected fault');
+		}
+
+		const value = run(faults.stale);
+		if (faults.replyLost) {
+			return fail(access === 'read' ? 'unavailable' : 'unknown', 'reply lost by an injected fault');
+		}
+
+		return ok(value);
+	};
+
+	const call = <Value>(request: Call<Value>) => new ResultAsync(perform(request));
+
+	return {
+		state,
+		setFaults(faults) {
+			staleInstances = state.listInstances();
+			plan.set(faults);
+		},
+		table: {
+			read: key => call({
+				target: 'table', operation: 'table.read', access: 'read', run: () => state.read(key),
+			}),
+			scan: scan => call({
+				target: 'table', operation: 'table.scan', access: 'read', run: () => state.scan(scan),
+			}),
+			transact: transaction => call({
+				target: 'table', operation: 'table.transact', access: 'write', formFault: transactionFault(transaction), run: () => state.transact(transaction),
+			}),
+		},
+		objects: {
+			put: (key, content) => call({
+				target: 'objects', operation: 'objects.put', access: 'write', formFault: objectFault(key, content), run() {
+					state.putObject(key, content);
+				},
+			}),
+			get: key => call({
+				target: 'objects', operation: 'objects.get', access: 'read', run: () => state.getObject(key),
+			}),
+			list: prefix => call({
+				target: 'objects', operation: 'objects.list', access: 'read', run: () => state.listObjects(prefix),
+			}),
+			remove: key => call({
+				target: 'objects', operation: 'objects.remove', access: 'write', run() {
+					state.removeObject(key);
+				},
+			}),
+		},
+		instances: {
+			list: () => call({
+				target: 'instances', operation: 'instances.list', access: 'read', run: stale => stale ? staleInstances : state.listInstances(),
+			}),
+			register: instance => call({
+				target: 'instances', operation: 'instances.register', access: 'write', run() {
+					state.register(instance);
+				},
+			}),
+			deregister: id => call({
+				target: 'instances', operation: 'instances.deregister', access: 'write', run() {
+					state.deregister(id);
+				},
+			}),
+		},
+	};
+};
--- /dev/null
+++ b/packages/standins/src/platformFaultCommand.ts
@@ -0,0 +1,23 @@
+/**
+ * Commands that set faults of the platform's stand-in, over HTTP and on the command line.
+ */
+import {faultKinds, faultTargets, type Fault} from '@filbertwell/platform/faultPlan';
+import {z} from 'zod';
+
+const faultSchema: z.ZodType<Fault> = z.strictObject({
+	target: z.enum(faultTargets),
+	kind: z.enum(faultKinds),
+	access: z.enum(['read', 'write']).optional(),
+	probability: z.number().min(0).max(1).optional(),
+	count: z.number().int().min(1).optional(),
+	delayMs: z.number().min(0).optional(),
+});
+
+/** Body of `POST /faults`: the faults that replace those in force, and the seed of their probabilities. */
+export const faultCommandSchema = z.strictObject({
+	faults: z.array(faultSchema).max(100),
+	seed: z.number().int().optional(),
+});
+
+/** A command that sets faults. */
+export type FaultCommand = z.infer<typeof faultCommandSchema>;
--- /dev/null
+++ b/packages/standins/src/platformMain.ts
@@ -0,0 +1,43 @@
+#!/usr/bin/env node
+/**
+ * `filbertwell-standin-platform`: the platform's services in memory, for tests and demos.
+ */
+import process from 'node:process';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {faultCommandSchema} from './platformFaultCommand.js';
+import {createPlatformStandin} from './platformStandin.js';
+
+const parseFaults = (text: string) => {
+	try {
+		return faultCommandSchema.parse(JSON.parse(text));
+	} catch (error) {
+		throw new Error(`--faults: ${(error as Error).message}; give JSON such as '{"faults":[{"target":"table","kind":"down"}],"seed":1}'`);
+	}
+};
+
+const settings = await yargs(hideBin(process.argv))
+	.scriptName('filbertwell-standin-platform')
+	.option('host', {type: 'string', default: '127.0.0.1', describe: 'Address to listen on'})
+	.option('port', {type: 'number', default: 0, describe: 'Port to listen on; 0 for any free one'})
+	.option('faults', {type: 'string', describe: 'Faults from the start, in the JSON of POST /faults', coerce: parseFaults})
+	.example('$0 --port 7400', 'Listen on 127.0.0.1:7400')
+	.strict()
+	.help()
+	.parseAsync();
+
+const standin = await createPlatformStandin({host: settings.host, port: settings.port});
+if (settings.faults !== undefined) {
+	standin.setFaults(settings.faults.faults, settings.faults.seed);
+}
+
+// The first line of output tells the parent the address.
+console.log(JSON.stringify({listening: standin.address}));
+
+// The process ends by itself once the listener is closed.
+const stop = () => {
+	void standin.close();
+};
+
+process.once('SIGTERM', stop);
+process.once('SIGINT', stop);
--- /dev/null
+++ b/packages/standins/src/platformStandin.ts
@@ -0,0 +1,209 @@
+/**
+ * Stand-in of the platform: table service, object store and instance list in memory, over HTTP,
+ * with faults by command.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {createFaultPlan, type Fault} from '@filbertwell/platform/faultPlan';
+import {createMemoryState, type MemoryState} from '@filbertwell/platform/memoryState';
+import {maximumObjectBytes} from '@filbertwell/platform/platformLimits';
+import type {SocketAddress} from '@filbertwell/types/place';
+import {createRandom} from '@filbertwell/utils/random';
+import {faultCommandSchema} from './platformFaultCommand.js';
+import {findCall, type PlatformCall, type RouteAnswer} from './platformRoutes.js';
+import {createStatisticsCounter, type PlatformStatistics} from './platformStatistics.js';
+
+/** Parameters of the stand-in. */
+export type PlatformStandinOptions = {
+	readonly host: string;
+	/** Port to listen on; 0 for any free one. */
+	readonly port: number;
+	/** State to serve; empty if left out. */
+	readonly state?: MemoryState;
+};
+
+/** A running stand-in. */
+export type PlatformStandin = {
+	readonly address: SocketAddress;
+	readonly state: MemoryState;
+	/** Replaces all faults. */
+	readonly setFaults: (faults: readonly Fault[], seed?: number) => void;
+	readonly statistics: () => PlatformStatistics;
+	readonly close: () => Promise<void>;
+};
+
+const defaultSeed = 1;
+/** Largest request body: the largest object, or a transaction of some large rows. */
+const maximumBodyBytes = 2 * maximumObjectBytes;
+
+const readBody = async (request: IncomingMessage): Promise<string | undefined> => {
+	const chunks: Uint8Array[] = [];
+	let bytes = 0;
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		bytes += chunk.length;
+		if (bytes > maximumBodyBytes) {
+			return undefined;
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+};
+
+const send = (response: ServerResponse, {status, body}: RouteAnswer) => {
+	const payload = Buffer.from(body);
+	response.writeHead(status, {'content-length': payload.length});
+	response.end(payload);
+};
+
+/**
+ * Starts a stand-in of the platform.
+ *
+ * @param options - Address to listen on.
+ * @returns The stand-in; rejects if it cannot listen.
+ */
+export const createPlatformStandin = async ({host, port, state = createMemoryState()}: PlatformStandinOptions): Promise<PlatformStandin> => {
+	const counter = createStatisticsCounter();
+	let random = createRandom(defaultSeed);
+	const plan = createFaultPlan(() => random());
+	let staleInstances = state.listInstances();
+
+	const setFaults = (faults: readonly Fault[], seed = defaultSeed) => {
+		random = createRandom(seed);
+		staleInstances = state.listInstances();
+		plan.set(faults);
+	};
+
+	const perform = async (call: PlatformCall, response: ServerResponse, receivedBytes: number) => {
+		counter.count(call.operation, call.access);
+		const faults = plan.draw(call.target, call.access);
+		if (faults.delayMs > 0) {
+			await delay(faults.delayMs);
+		}
+
+		if (faults.paused) {
+			await plan.replaced();
+		}
+
+		if (faults.down) {
+			response.destroy();
+			return;
+		}
+
+		if (faults.refused) {
+			send(response, {status: 503, body: '{"error":"refused by an injected fault"}'});
+			return;
+		}
+
+		const answer = call.run(faults.stale ? staleInstances : undefined);
+		if (faults.replyLost) {
+			response.destroy();
+			return;
+		}
+
+		counter.countBytes(receivedBytes, Buffer.byteLength(answer.body));
+		send(response, answer);
+	};
+
+	const commandAnswer = (method: string, path: string, body: string): RouteAnswer | undefined => {
+		switch (`${method} ${path}`) {
+			case 'POST /faults': {
+				return setFaultsByCommand(body);
+			}
+
+			case 'DELETE /faults': {
+				setFaults([]);
+				return {status: 204, body: ''};
+			}
+
+			case 'GET /statistics': {
+				return {status: 200, body: JSON.stringify(counter.read())};
+			}
+
+			default: {
+				return undefined;
+			}
+		}
+	};
+
+	const setFaultsByCommand = (body: string): RouteAnswer => {
+		try {
+			const command = faultCommandSchema.safeParse(JSON.parse(body));
+			if (!command.success) {
+				return {status: 400, body: JSON.stringify({error: command.error.message})};
+			}
+
+			setFaults(command.data.faults, command.data.seed);
+			return {status: 204, body: ''};
+		} catch {
+			return {status: 400, body: '{"error":"the body is not JSON"}'};
+		}
+	};
+
+	const handle = async (request: IncomingMessage, response: ServerResponse) => {
+		const body = await readBody(request);
+		if (body === undefined) {
+			send(response, {status: 413, body: `{"error":"the body is over ${maximumBodyBytes} bytes"}`});
+			return;
+		}
+
+		const method = request.method ?? 'GET';
+		const url = new URL(request.url ?? '/', 'http://platform.invalid');
+		const answer = commandAnswer(method, url.pathname, body);
+		if (answer !== undefined) {
+			send(response, answer);
+			return;
+		}
+
+		const call = findCall(state, {method, url, body});
+		if (call === undefined) {
+			send(response, {status: 404, body: JSON.stringify({error: `no call ${method} ${url.pathname}`})});
+			return;
+		}
+
+		await perform(call, response, Buffer.byteLength(body));
+	};
+
+	const respond = async (request: IncomingMessage, response: ServerResponse) => {
+		try {
+			await handle(request, response);
+		} catch {
+			// The client closed the connection while its body was read.
+			response.destroy();
+		}
+	};
+
+	const server = createServer((request, response) => {
+		void respond(request, response);
+	});
+	server.keepAliveTimeout = 60_000;
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+	const {port: boundPort} = server.address() as AddressInfo;
+
+	return {
+		address: {host, port: boundPort},
+		state,
+		setFaults,
+		statistics: counter.read,
+		async close() {
+			plan.set([]);
+			server.closeAllConnections();
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+};
