Settings of the processes and of the command line, from INI with a schema

Cause: processes learn their addresses and bounds from INI files. Change: generic loader with typed values and errors that name file, section, key, value and fix.

--- /dev/null
+++ b/packages/settings/src/loadSettings.ts
@@ -0,0 +1,138 @@
+/**
+ * Reads an INI file against a schema. Every error is reported, not only the first.
+ */
+import {readFileSync} from 'node:fs';
+import {parse as parseIni} from 'ini';
+import {err, ok, type Result} from 'neverthrow';
+import {nearestName} from './nearestName.js';
+import type {Setting} from './setting.js';
+import type {SettingsError} from './settingsError.js';
+
+/** A section of a settings file. */
+export type SettingsSection = {
+	readonly description: string;
+	readonly keys: Readonly<Record<string, Setting<unknown>>>;
+};
+
+/** All sections of a settings file. */
+export type SettingsSchema = Readonly<Record<string, SettingsSection>>;
+
+/** Typed values of a settings file, nested by section. */
+export type SettingsValues<Schema extends SettingsSchema> = {
+	readonly [Section in keyof Schema]: {
+		readonly [Key in keyof Schema[Section]['keys']]: Schema[Section]['keys'][Key] extends Setting<infer Value> ? Value : never;
+	};
+};
+
+type ErrorDetails = Omit<SettingsError, 'file'>;
+
+type RawSection = Readonly<Record<string, unknown>>;
+
+const isRawSection = (value: unknown): value is RawSection => typeof value === 'object' && value !== null && !Array.isArray(value);
+
+const suggestion = (name: string, known: readonly string[], noun: string) =>
+	`remove it, or use the nearest known ${noun} "${nearestName(name, known)}" (known: ${known.join(', ')})`;
+
+/** The `ini` library turns `true`, `false` and `null` into values of their own; as settings they are text. */
+const rawText = (value: unknown) => typeof value === 'string' ? value : String(value);
+
+const unknownSections = (raw: RawSection, schema: SettingsSchema): ErrorDetails[] => Object.entries(raw)
+	.filter(([name, value]) => !isRawSection(value) || !Object.hasOwn(schema, name))
+	.map(([name, value]) => isRawSection(value)
+		? {
+			kind: 'unknownSection', section: name, key: '', value: '', problem: 'unknown section', fix: suggestion(name, Object.keys(schema), 'section'),
+		}
+		: {
+			kind: 'unknownKey', section: '', key: name, value: rawText(value), problem: 'key outside all sections', fix: 'move it below the section that it belongs to',
+		});
+
+const unknownKeys = (name: string, raw: RawSection, section: SettingsSection): ErrorDetails[] => Object.entries(raw)
+	.filter(([key]) => !Object.hasOwn(section.keys, key))
+	.map(([key, value]) => ({
+		kind: 'unknownKey', section: name, key, value: isRawSection(value) ? '' : rawText(value), problem: 'unknown key', fix: suggestion(key, Object.keys(section.keys), 'key'),
+	}));
+
+const parseValue = (section: string, key: string, raw: unknown, setting: Setting<unknown>): Result<unknown, ErrorDetails> => {
+	const given: unknown = Array.isArray(raw) && raw.length === 1 ? raw[0] : raw;
+	if (Array.isArray(given)) {
+		return err({
+			kind: 'repeated', section, key, value: given.map(value => rawText(value)).join(', '), problem: `the key is given ${given.length} times`, fix: 'keep one of them',
+		});
+	}
+
+	if (given === undefined && setting.defaultText === undefined) {
+		return err({
+			kind: 'missing', section, key, value: '', problem: 'required key is missing', fix: `add it with ${setting.expected}`,
+		});
+	}
+
+	const text = given === undefined ? setting.defaultText! : rawText(given);
+	const parsed = setting.schema.safeParse(text);
+	return parsed.success
+		? ok(parsed.data)
+		: err({
+			kind: 'invalid', section, key, value: text, problem: text === '' ? 'the value is empty' : 'the value is not valid', fix: `use ${setting.expected}`,
+		});
+};
+
+/**
+ * Checks the text of a settings file.
+ *
+ * @param text - Content of the file.
+ * @param file - Name of the file for errors.
+ * @param schema - Known sections and keys.
+ * @returns The typed values, or all errors.
+ */
+export const parseSettings = <Schema extends SettingsSchema>(text: string, file: string, schema: Schema): Result<SettingsValues<Schema>, SettingsError[]> => {
+	let raw: RawSection;
+	try {
+		// With `bracketedArray` off the library gathers a key that is given twice into an array.
+		raw = parseIni(text, {bracketedArray: false});
+	} catch (error) {
+		return err([{
+			kind: 'unreadable', file, section: '', key: '', value: '', problem: `the file is not INI (${String(error)})`, fix: 'write sections as [name] and keys as name = value, without quotes around names',
+		}]);
+	}
+
+	const errors = unknownSections(raw, schema);
+	const values: Record<string, Record<string, unknown>> = {};
+	for (const [name, section] of Object.entries(schema)) {
+		const given = Object.hasOwn(raw, name) && isRawSection(raw[name]) ? raw[name] : {};
+		errors.push(...unknownKeys(name, given, section));
+		const sectionValues: Record<string, unknown> = {};
+		for (const [key, setting] of Object.entries(section.keys)) {
+			const value = parseValue(name, key, Object.hasOwn(given, key) ? given[key] : undefined, setting);
+			if (value.isOk()) {
+				sectionValues[key] = value.value;
+			} else {
+				errors.push(value.error);
+			}
+		}
+
+		values[name] = sectionValues;
+	}
+
+	return errors.length === 0
+		? ok(values as SettingsValues<Schema>)
+		: err(errors.map(error => ({file, ...error})));
+};
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @param path - Path of the INI file.
+ * @param schema - Known sections and keys.
+ * @returns The typed values, or all errors.
+ */
+export const loadSettings = <Schema extends SettingsSchema>(path: string, schema: Schema): Result<SettingsValues<Schema>, SettingsError[]> => {
+	let text: string;
+	try {
+		text = readFileSync(path, 'utf8');
+	} catch (error) {
+		return err([{
+			kind: 'unreadable', file: path, section: '', key: '', value: '', problem: `the file can't be read (${(error as NodeJS.ErrnoException).code ?? String(error)})`, fix: 'check the path and its permissions',
+		}]);
+	}
+
+	return parseSettings(text, path, schema);
+};
--- /dev/null
+++ b/packages/settings/src/setting.ts
@@ -0,0 +1,128 @@
+/**
+ * Kinds of settings: how the text of an INI value is checked and turned into a typed value.
+ */
+import {isIP} from 'node:net';
+import {z} from 'zod';
+import type {SocketAddress} from '@filbertwell/types/place';
+
+/** One key of a settings file. */
+export type Setting<Value> = {
+	/** Checks the text of the value and gives the typed value. */
+	readonly schema: z.ZodType<Value, string>;
+	/** Text that is used where the key is absent; `undefined` where the key is required. */
+	readonly defaultText: string | undefined;
+	/** What a valid value looks like, for error messages and the settings page. */
+	readonly expected: string;
+	/** Unit of the value; empty where it has none. */
+	readonly unit: string;
+	readonly description: string;
+};
+
+/** What each setting says of itself, whatever its kind. */
+export type SettingDetails = {
+	readonly description: string;
+	/** Text of the default; leave it out to make the key required. */
+	readonly defaultText?: string;
+};
+
+/** A number's setting, with its bounds, both inclusive. */
+export type NumberDetails = SettingDetails & {
+	readonly minimum: number;
+	readonly maximum: number;
+};
+
+const integerPattern = /^\d{1,15}$/u;
+const namePattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/u;
+const maximumPort = 65_535;
+
+const integerSetting = ({description, defaultText, minimum, maximum}: NumberDetails, unit: string): Setting<number> => ({
+	schema: z.string().regex(integerPattern).transform(Number).pipe(z.number().min(minimum).max(maximum)),
+	defaultText,
+	expected: `an integer from ${minimum} to ${maximum}`,
+	unit,
+	description,
+});
+
+/**
+ * Parses `host:port` with an IP number as host; IPv6 in brackets.
+ *
+ * @param text - For instance `10.0.1.5:7000` or `[fd00::5]:7000`.
+ * @returns The address, or `undefined` where the text is not one.
+ */
+export const parseSocketAddress = (text: string): SocketAddress | undefined => {
+	const separator = text.lastIndexOf(':');
+	if (separator === -1) {
+		return undefined;
+	}
+
+	const hostText = text.slice(0, separator);
+	const isBracketed = hostText.startsWith('[') && hostText.endsWith(']');
+	const host = isBracketed ? hostText.slice(1, -1) : hostText;
+	const portText = text.slice(separator + 1);
+	const port = Number(portText);
+	const isValid = isIP(host) === (isBracketed ? 6 : 4) && integerPattern.test(portText) && port >= 1 && port <= maximumPort;
+	return isValid ? {host, port} : undefined;
+};
+
+/** A name: letters, digits, dot, underscore and hyphen. */
+export const nameSetting = (details: SettingDetails): Setting<string> => ({
+	schema: z.string().regex(namePattern),
+	defaultText: details.defaultText,
+	expected: 'a name of 1 to 63 letters, digits, ".", "_" and "-", starting with a letter or digit',
+	unit: '',
+	description: details.description,
+});
+
+/** A name that may be left empty, which gives `undefined`. */
+export const optionalNameSetting = (details: SettingDetails): Setting<string | undefined> => ({
+	...nameSetting(details),
+	schema: z.union([
+		z.literal('').transform(() => undefined),
+		z.string().regex(namePattern),
+	]),
+	defaultText: '',
+});
+
+/** Free text of at most 1,000 characters. */
+export const textSetting = (details: SettingDetails): Setting<string> => ({
+	schema: z.string().max(1000),
+	defaultText: details.defaultText,
+	expected: 'a text of at most 1000 characters',
+	unit: '',
+	description: details.description,
+});
+
+/** An IP number to listen on or to connect to. */
+export const hostSetting = (details: SettingDetails): Setting<string> => ({
+	schema: z.string().refine(text => isIP(text) > 0),
+	defaultText: details.defaultText,
+	expected: 'an IPv4 or IPv6 number, as 10.0.1.5',
+	unit: '',
+	description: details.description,
+});
+
+/** A port to listen on; 0 lets the operating system choose. */
+export const listenPortSetting = (details: SettingDetails): Setting<number> => integerSetting({...details, minimum: 0, maximum: maximumPort}, '');
+
+/** A port to connect to. */
+export const remotePortSetting = (details: SettingDetails): Setting<number> => integerSetting({...details, minimum: 1, maximum: maximumPort}, '');
+
+/** A time in milliseconds. */
+export const millisecondsSetting = (details: NumberDetails): Setting<number> => integerSetting(details, 'ms');
+
+/** A size in bytes. */
+export const bytesSetting = (details: NumberDetails): Setting<number> => integerSetting(details, 'bytes');
+
+/** A number of things. */
+export const countSetting = (details: NumberDetails): Setting<number> => integerSetting(details, 'count');
+
+/** A list of `host:port`, separated by commas; it may be empty. */
+export const addressListSetting = (details: SettingDetails): Setting<readonly SocketAddress[]> => ({
+	schema: z.string()
+		.transform(text => text.split(',').map(part => part.trim()).filter(part => part !== '').map(part => parseSocketAddress(part)))
+		.refine((addresses): addresses is SocketAddress[] => !addresses.includes(undefined)),
+	defaultText: details.defaultText,
+	expected: 'a list of host:port separated by commas, hosts as IP numbers, as 10.0.1.5:7000,10.0.2.5:7000',
+	unit: '',
+	description: details.description,
+});
