--- /dev/null
+++ b/examples/rodalar/src/rodalarIntent.ts
@@ -0,0 +1,131 @@
+/**
+ * Builds the intent of Rodalar Componentes: six availability zones in three regions joined by thin
+ * links, and four services.
+ */
+import {
+	atMostOnceRoute,
+	clientBlock,
+	endpoint,
+	idempotentRoute,
+	intent,
+	linkCap,
+	region,
+	regionShare,
+	service,
+	sitePreference,
+	tenant,
+} from '@filbertwell/intent/buildIntent';
+import type {Endpoint, Intent, Route} from '@filbertwell/types/intent';
+
+/** Where the endpoints listen: all on one host, at ports from the base on. */
+export type Placement = {
+	readonly host: string;
+	readonly basePort: number;
+};
+
+type ServiceSize = {
+	readonly name: string;
+	readonly endpoints: number;
+	readonly routes: readonly Route[];
+};
+
+const regions = [
+	region('south', ['south-a', 'south-b']),
+	region('southeast', ['southeast-a', 'southeast-b']),
+	region('northeast', ['northeast-a', 'northeast-b']),
+];
+const zones = regions.flatMap(({availabilityZones}) => availabilityZones);
+const linkMegabitsPerSecond = 300;
+const minimumSlots = 3;
+
+const services: readonly ServiceSize[] = [
+	{
+		name: 'inventory',
+		endpoints: 13,
+		routes: [
+			idempotentRoute({name: 'stock-check', deadlineMs: 1000}),
+			idempotentRoute({
+				name: 'stock-count', methods: ['PUT'], requestClass: 'background', deadlineMs: 10_000, hedge: false,
+			}),
+		],
+	},
+	{
+		name: 'freight',
+		endpoints: 12,
+		routes: [
+			atMostOnceRoute({name: 'pickup-booking', pathPrefix: '/pickups', deadlineMs: 5000}),
+			idempotentRoute({name: 'pickup-status'}),
+		],
+	},
+	{
+		name: 'orders',
+		endpoints: 14,
+		routes: [
+			atMostOnceRoute({
+				name: 'place-order', methods: ['POST'], deadlineMs: 5000,
+			}),
+			idempotentRoute({name: 'order-status'}),
+		],
+	},
+	{
+		name: 'catalogue',
+		endpoints: 12,
+		routes: [
+			idempotentRoute({
+				name: 'export', pathPrefix: '/export', requestClass: 'background', deadlineMs: 30_000, hedge: false,
+			}),
+			idempotentRoute({name: 'browse', deadlineMs: 1000}),
+		],
+	},
+];
+
+/** Spreads a service's endpoints over the zones in turn, with 3 and 4 slots alternating. */
+const placeEndpoints = ({name, endpoints}: ServiceSize, {host, basePort}: Placement): Endpoint[] => Array.from({length: endpoints}, (_, index) => endpoint({
+	id: `${name}-${String(index + 1).padStart(2, '0')}`,
+	host,
+	port: basePort + index,
+	availabilityZone: zones[index % zones.length]!,
+	slots: minimumSlots + (index % 2),
+}));
+
+const buildServices = ({host, basePort}: Placement) => {
+	let nextPort = basePort;
+	return services.map(size => {
+		const endpoints = placeEndpoints(size, {host, basePort: nextPort});
+		nextPort += size.endpoints;
+		return service({name: size.name, endpoints, routes: size.routes});
+	});
+};
+
+/**
+ * Builds Rodalar's intent.
+ *
+ * @param placement - Where the endpoints listen.
+ * @returns The intent, with 51 endpoints on as many consecutive ports.
+ */
+export const rodalarIntent = (placement: Placement): Intent => intent({
+	deployment: 'rodalar',
+	regions,
+	services: buildServices(placement),
+	regionShares: regions.map(({name}) => regionShare(name, 0.6)),
+	linkCaps: [
+		linkCap('south', 'southeast', linkMegabitsPerSecond),
+		linkCap('southeast', 'northeast', linkMegabitsPerSecond),
+		linkCap('south', 'northeast', linkMegabitsPerSecond),
+	],
+	shiftCaps: {plannedSharePerMinute: 0.2, failoverSharePerMinute: 2},
+	sitePreferences: [
+		sitePreference('from-south', ['south-a', 'south-b', 'southeast-a', 'southeast-b']),
+		sitePreference('from-southeast', ['southeast-a', 'southeast-b', 'south-a', 'south-b']),
+		sitePreference('from-northeast', ['northeast-a', 'northeast-b', 'southeast-a', 'southeast-b']),
+	],
+	// The factory and the supermarket chains call from these networks; loopback stands in for them.
+	clientBlocks: [
+		clientBlock('127.0.0.0/16', 'from-south'),
+		clientBlock('127.1.0.0/16', 'from-southeast'),
+		clientBlock('127.2.0.0/16', 'from-northeast'),
+		clientBlock('127.2.128.0/17', 'from-southeast'),
+	],
+	lookups: {lifetimeSeconds: 5, addresses: 3, defaultPreference: 'from-south'},
+	tenants: [tenant('supermarkets', 3), tenant('factory', 2), tenant('partners')],
+});
--- /dev/null
+++ b/packages/intent/src/checkIntent.ts
@@ -0,0 +1,88 @@
+/**
+ * Checks a value as an intent: first its form, then the relations between its fields.
+ */
+import type {Intent} from '@filbertwell/types/intent';
+import {err, ok, type Result} from 'neverthrow';
+import type {z} from 'zod';
+import {checkDrains} from './checks/checkDrains.js';
+import {checkLookups} from './checks/checkLookups.js';
+import {checkPlaces} from './checks/checkPlaces.js';
+import {checkServices} from './checks/checkServices.js';
+import {checkShares} from './checks/checkShares.js';
+import {formatPath, type IntentProblem, showValue} from './intentProblem.js';
+import {intentSchema} from './intentSchema.js';
+
+type Issue = z.core.$ZodIssue;
+
+const valueAt = (root: unknown, path: readonly PropertyKey[]): unknown => {
+	let value = root;
+	for (const key of path) {
+		value = typeof value === 'object' && value !== null && Object.hasOwn(value, key) ? (value as Record<PropertyKey, unknown>)[key] : undefined;
+	}
+
+	return value;
+};
+
+const issueDescriptions: Partial<Record<Issue['code'], string>> = {
+	unrecognized_keys: 'unknown key', // eslint-disable-line @typescript-eslint/naming-convention
+	invalid_type: 'wrong type of value', // eslint-disable-line @typescript-eslint/naming-convention
+	invalid_value: 'not a known value', // eslint-disable-line @typescript-eslint/naming-convention
+	too_small: 'out of range', // eslint-disable-line @typescript-eslint/naming-convention
+	too_big: 'out of range', // eslint-disable-line @typescript-eslint/naming-convention
+};
+
+const describeIssue = (issue: Issue, value: unknown): string => value === undefined
+	? 'the key is missing'
+	: issueDescriptions[issue.code] ?? 'malformed value';
+
+const toProblems = (issue: Issue, root: unknown): IntentProblem[] => {
+	const paths = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...issue.path, key]) : [issue.path];
+	return paths.map(path => {
+		const value = valueAt(root, path);
+		return {
+			path: formatPath(path), value: showValue(value), problem: describeIssue(issue, value), fix: issue.message,
+		};
+	});
+};
+
+/**
+ * Checks a value as an intent.
+ *
+ * @param value - Any value, usually parsed JSON.
+ * @returns The intent, or all problems that were found. Relations are checked once the form is right.
+ */
+export const checkIntent = (value: unknown): Result<Intent, IntentProblem[]> => {
+	const parsed = intentSchema.safeParse(value);
+	if (!parsed.success) {
+		return err(parsed.error.issues.flatMap(issue => toProblems(issue, value)));
+	}
+
+	const intent: Intent = parsed.data;
+	const problems = [
+		...checkPlaces(intent),
+		...checkServices(intent),
+		...checkDrains(intent),
+		...checkShares(intent),
+		...checkLookups(intent),
+	];
+	return problems.length === 0 ? ok(intent) : err(problems);
+};
+
+/**
+ * Checks text as an intent in JSON.
+ *
+ * @param text - Any text.
+ * @returns The intent, or all problems that were found.
+ */
+export const parseIntent = (text: string): Result<Intent, IntentProblem[]> => {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
+	} catch (error) {
+		return err([{
+			path: '', value: showValue(text.slice(0, 40)), problem: `malformed JSON (${(error as Error).message})`, fix: 'print the intent with printIntent, or correct the JSON there',
+		}]);
+	}
+
+	return checkIntent(value);
+};
--- /dev/null
+++ b/packages/intent/src/checks/checkDrains.ts
@@ -0,0 +1,41 @@
+/**
+ * Checks of the drains' targets.
+ */
+import type {Drain, Intent} from '@filbertwell/types/intent';
+import type {IntentProblem} from '../intentProblem.js';
+import {findDuplicates, findUnknown, place} from './problemAt.js';
+
+/** Names that a drain may have; `undefined` for entries, which an intent does not list. */
+const knownTargets = ({regions, services}: Intent, target: Drain['target']): readonly string[] | undefined => {
+	switch (target) {
+		case 'endpoint': {
+			return services.flatMap(service => service.endpoints.map(endpoint => endpoint.id));
+		}
+
+		case 'availabilityZone': {
+			return regions.flatMap(region => region.availabilityZones);
+		}
+
+		case 'region': {
+			return regions.map(region => region.name);
+		}
+
+		case 'entry': {
+			return undefined;
+		}
+	}
+};
+
+/**
+ * Checks the drains' targets.
+ *
+ * @param intent - An intent of valid form.
+ * @returns The problems.
+ */
+export const checkDrains = (intent: Intent): IntentProblem[] => [
+	...intent.drains.flatMap((drain, index) => {
+		const known = knownTargets(intent, drain.target);
+		return known === undefined ? [] : findUnknown([{path: `drains[${index}].name`, value: drain.name}], known, drain.target === 'availabilityZone' ? 'availability zone' : drain.target);
+	}),
+	...findDuplicates(place('drains', intent.drains, '', drain => `${drain.target} ${drain.name}`), 'drain'),
+];
--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -4,7 +4,7 @@
 import {readFileSync} from 'node:fs';
 import {parse as parseIni} from 'ini';
 import {err, ok, type Result} from 'neverthrow';
-import {nearestName} from './nearestName.js';
+import {nearestName} from '@filbertwell/utils/nearestName';
 import type {Setting} from './setting.js';
 import type {SettingsError} from './settingsError.js';
 
