--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -1,6 +1,7 @@
 /**
  * Answers that the entry makes itself. Each says in one header what became of the request.
  */
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {outcomeHeader, type OutcomeHeader} from '@filbertwell/types/headers';
 
--- a/packages/entry/src/loadReportParser.ts
+++ b/packages/entry/src/loadReportParser.ts
@@ -5,7 +5,7 @@
 import {z} from 'zod';
 
 const longestReport = 1000;
-const count = z.number().finite().min(0).max(1_000_000);
+const count = z.number().min(0).max(1_000_000);
 
 const reportSchema = z.object({
 	state: z.enum(['serving', 'leaving']),
--- /dev/null
+++ b/packages/entry/src/orderDispatch.ts
@@ -0,0 +1,120 @@
+/**
+ * At-most-once requests: hands them to `Orders`, which claims the key and calls back for the
+ * one dispatch. The dispatch goes on when the caller goes away, since its answer is kept.
+ */
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import type {DispatchOutcome, KeptAnswer, Orders} from '@filbertwell/orders/orders';
+import type {Router} from '@filbertwell/routing/createRouter';
+import {outcomeHeader} from '@filbertwell/types/headers';
+import type {Clock} from '@filbertwell/utils/clock';
+import {contentHash} from '@filbertwell/utils/hash';
+import {sendOwnAnswer} from './answer.js';
+import {bufferAnswer, largestKeptBody} from './answerBuffer.js';
+import {answerUnansweredOrder} from './outcomeAnswer.js';
+import type {ParsedRequest} from './requestParser.js';
+import {callerHeaders} from './responseRelay.js';
+import type {UpstreamAnswer, UpstreamClient, UpstreamRequest} from './upstreamClient.js';
+
+/** Parts that an order needs. */
+export type OrderContext = {
+	readonly clock: Clock;
+	readonly router: Router;
+	readonly upstreams: UpstreamClient;
+	readonly orders: Orders;
+	readonly parsed: ParsedRequest;
+	readonly startedAtMs: number;
+	readonly request: UpstreamRequest;
+};
+
+const fingerprint = ({method, path, body}: UpstreamRequest): string => {
+	const content = body.kind === 'buffered' ? body.content : Buffer.alloc(0);
+	return contentHash(Buffer.concat([Buffer.from(`${method}\u0000${path}\u0000`), content]));
+};
+
+const keep = async ({message, complete}: UpstreamAnswer, requestId: string, remainingMs: number): Promise<DispatchOutcome> => {
+	const buffered = await bufferAnswer(message, callerHeaders(message, requestId), remainingMs);
+	complete(buffered.kind === 'whole' ? 'complete' : 'truncated');
+	switch (buffered.kind) {
+		case 'whole': {
+			return {kind: 'answered', answer: buffered.answer};
+		}
+
+		case 'truncated': {
+			return {kind: 'in-doubt', reason: 'the upstream ran it, but its answer stopped short'};
+		}
+
+		case 'tooLarge': {
+			return {kind: 'in-doubt', reason: `the upstream ran it, but its answer is over the ${largestKeptBody} bytes that are kept`};
+		}
+
+		case 'late': {
+			return {kind: 'in-doubt', reason: 'the upstream ran it, but its answer did not end before the deadline'};
+		}
+	}
+};
+
+const sendKept = (response: ServerResponse, {status, headers, body}: KeptAnswer, isReplayed: boolean): void => {
+	if (response.destroyed) {
+		return;
+	}
+
+	response.writeHead(status, [...headers.flat(), ...isReplayed ? [outcomeHeader, 'replayed'] : []]);
+	response.end(Buffer.from(body, 'base64'));
+};
+
+/**
+ * Submits an order and answers the caller.
+ *
+ * @param context - The order and what it needs.
+ * @param response - The caller's response.
+ * @returns What became of it, for the metrics; never rejects.
+ */
+export const submitOrder = async (context: OrderContext, response: ServerResponse): Promise<string> => {
+	const {clock, router, upstreams, orders, parsed, startedAtMs, request} = context;
+	const deadlineAtMs = startedAtMs + parsed.deadlineMs;
+	const key = parsed.idempotencyKey ?? '';
+
+	const dispatch = async (): Promise<DispatchOutcome> => {
+		const outcome = await router.route({
+			service: parsed.service.name,
+			route: parsed.route,
+			tenant: parsed.tenant,
+			deadlineAtMs,
+			signal: new AbortController().signal,
+			replayable: true,
+		}, async (endpoint, attempt) => upstreams.send(endpoint, attempt, request));
+		switch (outcome.kind) {
+			case 'answered': {
+				return keep(outcome.answer, parsed.id, deadlineAtMs - clock());
+			}
+
+			case 'not-run':
+			case 'in-doubt': {
+				return {kind: outcome.kind, reason: outcome.detail};
+			}
+
+			case 'cancelled': {
+				return {kind: outcome.written ? 'in-doubt' : 'not-run', reason: 'the attempt was cancelled'};
+			}
+		}
+	};
+
+	const outcome = await orders.submit({
+		service: parsed.service.name,
+		tenant: parsed.tenant,
+		key,
+		fingerprint: fingerprint(request),
+		attempt: parsed.attempt,
+		claimOutage: parsed.route.claimOutage,
+		remainingMs: deadlineAtMs - clock(),
+		dispatch,
+	});
+	if (outcome.kind === 'answered' || outcome.kind === 'replayed') {
+		sendKept(response, outcome.answer, outcome.kind === 'replayed');
+	} else {
+		sendOwnAnswer(response, answerUnansweredOrder(outcome, parsed.service.name, key));
+	}
+
+	return outcome.kind;
+};
--- a/packages/entry/src/requestParser.ts
+++ b/packages/entry/src/requestParser.ts
@@ -35,8 +35,8 @@
 const longestKey = 200;
 const longestName = 100;
 const longestDeadlineMs = 3_600_000;
-const namePattern = /^[\w.:@\-]+$/v;
-const integerPattern = /^\d{1,10}$/v;
+const namePattern = /^[\w.:@-]+$/;
+const integerPattern = /^\d{1,10}$/;
 
 const invalid = (detail: string): OwnAnswer => ({...problemAnswer(400, 'invalid', 'invalidRequest', detail), closesConnection: true});
 
@@ -77,7 +77,7 @@
 	}
 
 	// A sign is well formed: it tells of a deadline that has passed.
-	if (/^-\d{1,10}$/v.test(text) || text === '0') {
+	if (/^-\d{1,10}$/.test(text) || text === '0') {
 		return err({
 			...problemAnswer(504, 'not-run', 'deadlinePassed', `${deadlineHeader}: "${text}" has passed; nothing was run`),
 			closesConnection: true,
--- a/packages/entry/src/serviceIndex.ts
+++ b/packages/entry/src/serviceIndex.ts
@@ -31,7 +31,7 @@
 	return rest.startsWith('/') ? rest : `/${rest}`;
 };
 
-const withoutPort = (host: string): string => host.replace(/:\d+$/v, '').toLowerCase();
+const withoutPort = (host: string): string => host.replace(/:\d+$/, '').toLowerCase();
 
 /**
  * Builds the index of a configuration.
--- a/packages/entry/src/upstreamClient.ts
+++ b/packages/entry/src/upstreamClient.ts
@@ -6,7 +6,7 @@
  * it, and then nobody can tell whether the request ran. On a new connection a failure before it
  * is open proves that nothing was written.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {
 	Agent, type ClientRequest, type IncomingMessage, request as sendRequest,
 } from 'node:http';
@@ -20,7 +20,7 @@
 /** Body of a request for an upstream. */
 export type UpstreamBody =
 	| {readonly kind: 'none'}
-	| {readonly kind: 'buffered'; readonly content: Buffer}
+	| {readonly kind: 'buffered'; readonly content: Uint8Array}
 	/** Can be sent once. `trailers` are read when the stream has ended. */
 	| {readonly kind: 'streamed'; readonly stream: Readable; readonly trailers: () => readonly string[]};
 
@@ -78,12 +78,6 @@
 	return text === undefined ? undefined : parseLoadReport(text);
 };
 
-/** Whether any byte of the request may have reached the upstream. */
-const isWritten = (outgoing: ClientRequest): boolean => {
-	const {socket} = outgoing;
-	return outgoing.reusedSocket || (socket !== null && !socket.connecting && socket.bytesWritten > 0);
-};
-
 const errorText = (endpoint: Endpoint, error: NodeJS.ErrnoException): string => `${endpoint.id}: ${error.code ?? error.message}`;
 
 const writeBody = (outgoing: ClientRequest, body: UpstreamBody, countBytes: Attempt['countBytes']): void => {
@@ -99,7 +93,7 @@
 	}
 
 	const {stream, trailers} = body;
-	stream.on('data', (chunk: Buffer) => {
+	stream.on('data', (chunk: Uint8Array) => {
 		countBytes(chunk.length, 0);
 	});
 	stream.once('end', () => {
@@ -148,17 +142,23 @@
 
 		const outgoing = open(endpoint, attempt, request);
 		let message: IncomingMessage | undefined;
+		/** Whether a connection was open: from then on the request may have been written. */
+		let isWritten = false;
 		let complete: (completion: Completion) => void = () => undefined;
 
 		const onAbort = () => {
-			resolve({kind: 'cancelled', written: isWritten(outgoing)});
+			resolve({kind: 'cancelled', written: isWritten});
 			complete('cancelled');
 			message?.destroy();
 			outgoing.destroy();
 		};
 
+		const onConnected = () => {
+			isWritten = true;
+		};
+
 		const connectTimer = setTimeout(() => {
-			if (outgoing.socket?.connecting !== false) {
+			if (!isWritten) {
 				outgoing.destroy(new Error(`no connection within ${connectTimeoutMs} ms`));
 			}
 		}, connectTimeoutMs);
@@ -178,13 +178,13 @@
 				};
 			}
 
-			const completion = new Promise<Completion>(settle => {
+			const completion = new Promise<Completion>(resolve => {
 				complete = result => {
 					finish();
-					settle(result);
+					resolve(result);
 				};
 			});
-			incoming.on('data', (chunk: Buffer) => {
+			incoming.on('data', (chunk: Uint8Array) => {
 				countBytes(0, chunk.length);
 			});
 			incoming.pause();
@@ -194,6 +194,13 @@
 		};
 
 		signal.addEventListener('abort', onAbort);
+		outgoing.once('socket', socket => {
+			if (socket.connecting) {
+				socket.once('connect', onConnected);
+			} else {
+				onConnected();
+			}
+		});
 		outgoing.once('response', incoming => {
 			message = incoming;
 			clearTimeout(connectTimer);
@@ -202,7 +209,7 @@
 		});
 		outgoing.on('error', (error: NodeJS.ErrnoException) => {
 			finish();
-			resolve(isWritten(outgoing)
+			resolve(isWritten
 				? {kind: 'failed', reason: errorText(endpoint, error)}
 				: {
 					kind: 'not-run', cause: 'unreachable', reason: errorText(endpoint, error), report: undefined,
--- a/packages/routing/src/createRouter.ts
+++ b/packages/routing/src/createRouter.ts
@@ -153,7 +153,7 @@
 			for (const router of services.values()) {
 				const tracker = router.trackers().find(({endpoint}) => endpoint.id === endpointId);
 				if (tracker !== undefined) {
-					tracker.observeReport(report, atMs);
+					tracker.observeReport(report, atMs, false);
 					tracker.health.recordReachable();
 					router.startReady();
 				}
--- a/packages/routing/src/endpointTracker.ts
+++ b/packages/routing/src/endpointTracker.ts
@@ -39,7 +39,8 @@
 	/** Slots in use by all entries, by estimate. */
 	readonly inUse: () => number;
 	readonly slots: () => number;
-	readonly observeReport: (report: LoadReport, atMs: number) => void;
+	/** Takes in a report. One on an answer counts the endpoint's work without the answered request. */
+	readonly observeReport: (report: LoadReport, atMs: number, isOnAnswer: boolean) => void;
 	readonly reportAgeMs: () => number;
 	readonly latestReport: () => LoadReport | undefined;
 	readonly recordAnswer: (slowness: number) => void;
@@ -115,8 +116,8 @@
 		free: () => slots() - others() - flights.size,
 		inUse: () => Math.min(slots(), others() + flights.size),
 		slots,
-		observeReport(report, atMs) {
-			load.observe(report, atMs, flights.size);
+		observeReport(report, atMs, isOnAnswer) {
+			load.observe(report, atMs, flights.size - (isOnAnswer ? 1 : 0));
 			limit.setSlots(endpoint.slots === 0 ? report.slots : Math.min(endpoint.slots, report.slots > 0 ? report.slots : endpoint.slots));
 			if (report.state === 'leaving') {
 				leaving.add('report');
--- a/packages/routing/src/runningAttempt.ts
+++ b/packages/routing/src/runningAttempt.ts
@@ -45,7 +45,7 @@
 	const slowness = slownessOf(elapsedMs, firstByte.medianMs());
 	const isHealthy = tracker.health.state() === 'healthy';
 	if ((outcome.kind === 'answered' || outcome.kind === 'not-run') && outcome.report !== undefined) {
-		tracker.observeReport(outcome.report, nowMs);
+		tracker.observeReport(outcome.report, nowMs, true);
 	}
 
 	if (outcome.kind === 'answered' && outcome.status < firstServerError) {
