Add the open-loop load generator and the check of promises

Cause: measurements need callers that behave as real ones and records that can be set against ledgers. Change: arrivals fixed in advance, cached look-ups, resends under one key, a record of each attempt, and counts of broken promises.

--- /dev/null
+++ b/packages/load/src/__tests__/runLoad.test.ts
@@ -0,0 +1,136 @@
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {defaultLoadPlan, type LoadPlan, type RouteLoad} from '../loadPlan.js';
+import {runLoad} from '../runLoad.js';
+
+type Handler = (request: IncomingMessage, response: ServerResponse, attempt: number) => void;
+
+const servers: Server[] = [];
+
+afterEach(async () => {
+	for (const server of servers.splice(0)) {
+		server.closeAllConnections();
+		server.close();
+	}
+});
+
+const own = (request: IncomingMessage) => JSON.stringify({requestId: request.headers['x-filbertwell-request-id'], key: request.headers['idempotency-key']});
+
+const startEntry = async (handle: Handler) => {
+	let lookups = 0;
+	const server: Server = createServer((request, response) => {
+		const {port} = server.address() as AddressInfo;
+		if (request.url!.startsWith('/lookup')) {
+			lookups += 1;
+			response.end(JSON.stringify({addresses: [{entry: 'e', host: '127.0.0.1', port}], lifetimeSeconds: 60}));
+			return;
+		}
+
+		handle(request, response, Number(request.headers['x-filbertwell-attempt'] ?? 1));
+	});
+	servers.push(server);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return {lookups: () => lookups, address: {host: '127.0.0.1', port: (server.address() as AddressInfo).port}};
+};
+
+const order: RouteLoad = {
+	name: 'order', service: 's', method: 'POST', path: '/s/orders', kind: 'atMostOnce', requestClass: 'critical', weight: 1, bodyBytes: 10, deadlineMs: 2000,
+};
+
+const plan = (entries: LoadPlan['entries'], changes: Partial<LoadPlan> = {}): LoadPlan => ({
+	...defaultLoadPlan, entries, routes: [order], requestsPerSecond: 200, durationMs: 100, callers: 2, seed: 1, ...changes,
+});
+
+const refuse: Handler = (_request, response) => {
+	response.writeHead(503, {'x-filbertwell-outcome': 'not-run'}).end('full');
+};
+
+const answers: ReadonlyArray<{readonly name: string; readonly handle: Handler; readonly outcome: string; readonly attempts: readonly string[]}> = [
+	{
+		name: 'an answer', handle: (request, response) => response.end(own(request)), outcome: 'answered', attempts: ['answered'],
+	},
+	{
+		name: 'a lost answer is resent under its key',
+		handle: (request, response, attempt) => attempt === 1 ? response.destroy() : response.writeHead(200, {'x-filbertwell-outcome': 'replayed'}).end(own(request)),
+		outcome: 'answered',
+		attempts: ['lost', 'replayed'],
+	},
+	{
+		name: 'a short answer is seen',
+		handle(request, response, attempt) {
+			response.writeHead(200, {'content-length': 500});
+			if (attempt === 1) {
+				response.write('half', () => response.destroy());
+			} else {
+				response.end(own(request).padEnd(500));
+			}
+		},
+		outcome: 'answered',
+		attempts: ['cut-off', 'answered'],
+	},
+	{
+		name: 'another request\'s answer is seen',
+		handle: (request, response, attempt) => response.end(attempt === 1 ? '{"key":"other"}' : own(request)),
+		outcome: 'answered',
+		attempts: ['foreign', 'answered'],
+	},
+	{
+		name: 'refusals are resent to the last', handle: refuse, outcome: 'not-run', attempts: ['not-run', 'not-run', 'not-run'],
+	},
+];
+
+test.each(answers)('$name', async ({handle, outcome, attempts}) => {
+	const entry = await startEntry(handle);
+	const {records, requests} = await runLoad(plan([entry.address], {maximumOrderAttempts: 3}));
+	expect(records.length).toBe(requests);
+	for (const record of records) {
+		expect(record.outcome).toBe(outcome);
+		expect(record.attempts.map(attempt => attempt.outcome)).toEqual(attempts);
+	}
+});
+
+test('look-ups are cached for their lifetime by each caller', async () => {
+	const entry = await startEntry((request, response) => response.end(own(request)));
+	await runLoad(plan([entry.address], {callers: 1, requestsPerSecond: 50}));
+	expect(entry.lookups()).toBe(1);
+});
+
+test('an entry that cannot be reached is passed over', async () => {
+	const entry = await startEntry((request, response) => response.end(own(request)));
+	const {outcomes, requests} = await runLoad(plan([{host: '127.0.0.1', port: 1}, entry.address], {entryChoice: 'fixed', maximumOrderAttempts: 30}));
+	expect(outcomes).toEqual({answered: requests});
+});
+
+test('in doubt is asked after', async () => {
+	const entry = await startEntry((request, response) => {
+		if (request.url!.startsWith('/orders?')) {
+			response.end('{"state":"done"}');
+		} else {
+			response.writeHead(504, {'x-filbertwell-outcome': 'in-doubt'}).end();
+		}
+	});
+	const {records} = await runLoad(plan([entry.address]));
+	expect(records[0]).toMatchObject({outcome: 'answered', askable: true});
+});
+
+test('arrivals do not wait for slow answers', async () => {
+	const waiting: Array<() => void> = [];
+	let expected = 0;
+	const entry = await startEntry((request, response) => {
+		waiting.push(() => response.end(own(request)));
+		if (waiting.length === expected) {
+			for (const answer of waiting) {
+				answer();
+			}
+		}
+	});
+	const dry = await runLoad(plan([{host: '127.0.0.1', port: 1}], {entryChoice: 'fixed', maximumOrderAttempts: 1}));
+	expected = dry.requests;
+	const {outcomes} = await runLoad(plan([entry.address], {entryChoice: 'fixed'}));
+	expect(outcomes).toEqual({answered: expected});
+});
--- /dev/null
+++ b/packages/load/src/main.ts
@@ -0,0 +1,16 @@
+#!/usr/bin/env node
+/**
+ * `filbertwell-load`: open-loop load from the command line.
+ */
+import process from 'node:process';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {runCommand} from './commands/run.js';
+
+await yargs(hideBin(process.argv))
+	.scriptName('filbertwell-load')
+	.command(runCommand)
+	.demandCommand(1, 'Name a command')
+	.strict()
+	.help()
+	.parse();
