--- /dev/null
+++ b/packages/configuration/src/__tests__/sampleIntent.ts
@@ -0,0 +1,54 @@
+/**
+ * Small intents for tests.
+ */
+import type {ClientBlock, Intent} from '@filbertwell/types/intent';
+
+/**
+ * Makes a number of client blocks.
+ *
+ * @param count - Number of blocks, up to 16 million.
+ * @returns Blocks with distinct IPv4 prefixes.
+ */
+export const sampleBlocks = (count: number): ClientBlock[] => Array.from({length: count}, (_, index) => ({
+	prefix: `${10 + Math.floor(index / 65_536)}.${Math.floor(index / 256) % 256}.${index % 256}.0/24`,
+	preference: `preference-${index % 7}`,
+}));
+
+/** An intent with one service. */
+export const sampleIntent: Intent = {
+	deployment: 'test',
+	regions: [{name: 'south', availabilityZones: ['south-a', 'south-b']}],
+	services: [{
+		name: 'orders',
+		pathPrefix: '/orders',
+		hosts: [],
+		endpoints: [{
+			id: 'orders-1', host: '127.0.0.1', port: 9000, availabilityZone: 'south-a', slots: 3,
+		}],
+		routes: [],
+		maximumBodyBytes: 1000,
+	}],
+	regionShares: [],
+	linkCaps: [],
+	shiftCaps: {plannedSharePerMinute: 0.1, failoverSharePerMinute: 1},
+	drains: [],
+	shifts: [],
+	sites: [{name: 'site-1', availabilityZone: 'south-a'}],
+	sitePreferences: [{name: 'preference-0', sites: ['site-1']}],
+	clientBlocks: sampleBlocks(10),
+	lookups: {lifetimeSeconds: 5, addresses: 2, defaultPreference: 'preference-0'},
+	tenants: [],
+};
+
+/**
+ * Makes an intent that differs from the sample in one drain.
+ *
+ * @param reason - Reason of the drain.
+ * @returns The intent.
+ */
+export const drainedIntent = (reason: string): Intent => ({
+	...sampleIntent,
+	drains: [{
+		target: 'endpoint', name: 'orders-1', pace: 'capped', reason,
+	}],
+});
