--- /dev/null
+++ b/packages/measure/src/experiments/slowUpstream.ts
@@ -0,0 +1,62 @@
+/**
+ * Some endpoints become much slower in the middle of the load, as when neighbours nobody sees
+ * take their processor.
+ */
+import type {Experiment, Figures} from '../experiment.js';
+import {
+	type BenchOptions, type Policy, startBench,
+} from '../requestPath/bench.js';
+import {
+	latenciesOf, loadBench, lostShare, readRoute, rounded, startedBetween,
+} from '../requestPath/readLoad.js';
+
+const endpoints = 13;
+const slowed = 2;
+const slowFactor = 10;
+const meanMs = 40;
+const load = 0.6;
+const warmUpMs = 1500;
+const middleMs = 5000;
+const settleMs = 2000;
+const durationMs = 10_000;
+const largestRatio = 2;
+
+const measure = async (policy: Policy, seed: number): Promise<Figures> => {
+	const options: BenchOptions = {
+		seed, policy, entries: 8, endpoints, serviceTimeMs: {kind: 'logNormal', medianMs: meanMs, sigma: 0.2}, routes: [readRoute()],
+	};
+	const bench = await startBench(options);
+	const slowing = setTimeout(() => {
+		for (const upstream of bench.upstreams.slice(0, slowed)) {
+			void upstream.setFaults({slowFactor});
+		}
+	}, middleMs);
+	const records = await loadBench(bench, {requestsPerSecond: load * bench.slots * 1000 / meanMs, durationMs, seed});
+	clearTimeout(slowing);
+	const runs = bench.runs();
+	await bench.stop();
+	const before = startedBetween(records, warmUpMs, middleMs);
+	const after = startedBetween(records, middleMs + settleMs, durationMs);
+	return {
+		p99BeforeMs: latenciesOf(before).p99Ms,
+		p99AfterMs: latenciesOf(after).p99Ms,
+		ratio: rounded(latenciesOf(after).p99Ms / latenciesOf(before).p99Ms),
+		p99SettlingMs: latenciesOf(startedBetween(records, middleMs, middleMs + settleMs)).p99Ms,
+		lostShare: rounded(lostShare(records), 4),
+		attemptsPerRequest: rounded(runs / records.length, 3),
+	};
+};
+
+/** Tail latency while some endpoints are slow. */
+export const experiment: Experiment = {
+	name: 'slow-upstream',
+	description: '13 endpoints at 60% load, 2 of them 10 times slower from the middle on; p99 of reads from 2 s later on',
+	async run({seed}) {
+		const baseline = await measure('leastInFlight', seed);
+		const value = await measure('borrowed', seed);
+		const ratio = value.ratio!;
+		return {
+			experiment: 'slow-upstream', seed, baseline, value, ratio, bound: `p99 after over p99 before <= ${largestRatio}`, ok: ratio <= largestRatio,
+		};
+	},
+};
