--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -10,6 +10,7 @@
 import {type EndpointTracker, type LeavingSignal, createEndpointTracker} from './endpointTracker.js';
 import type {Self} from './localityOrder.js';
 import type {EjectionReason, HealthState} from './outlierDetection.js';
+import {type MeanUse, createMeanUse} from './reportedLoad.js';
 import {type SharingEntry, divideSlots} from './slotOwnership.js';
 
 /** What the pool is made from. */
@@ -28,6 +29,8 @@
 	readonly find: (endpointId: string) => EndpointTracker | undefined;
 	readonly choose: (need: Need) => EndpointTracker | undefined;
 	readonly setLeaving: (signal: LeavingSignal, isLeaving: (endpointId: string) => boolean) => void;
+	/** Mean use of the endpoints by their reports. */
+	readonly meanUse: MeanUse;
 	/** Whether any endpoint takes new work. */
 	readonly hasUsable: () => boolean;
 };
@@ -48,6 +51,7 @@
 export const createEndpointPool = (options: PoolOptions): EndpointPool => {
 	const {clock, self, division, onHealthChange} = options;
 	const choose = createEndpointChoice(options);
+	const meanUse = createMeanUse();
 	let byId: ReadonlyMap<string, EndpointTracker> = new Map();
 	let trackers: readonly EndpointTracker[] = [];
 
@@ -62,6 +66,7 @@
 			endpoint,
 			region: regionOf(endpoint.availabilityZone) ?? '',
 			isNew: byId.size > 0,
+			meanUse,
 			onHealthChange(state, reason) {
 				onHealthChange(endpoint.id, state, reason);
 			},
@@ -95,6 +100,7 @@
 				tracker.setLeaving(signal, isLeavingNow(tracker.endpoint.id));
 			}
 		},
+		meanUse,
 		hasUsable: () => trackers.some(tracker => !isLeaving(tracker)),
 	};
 };
--- a/packages/routing/src/endpointTracker.ts
+++ b/packages/routing/src/endpointTracker.ts
@@ -7,7 +7,7 @@
 import type {Clock} from '@filbertwell/utils/clock';
 import {createAdaptiveLimit} from './adaptiveLimit.js';
 import {type EndpointHealth, type HealthChange, createEndpointHealth} from './outlierDetection.js';
-import {createReportedLoad} from './reportedLoad.js';
+import {createReportedLoad, type MeanUse} from './reportedLoad.js';
 import type {OwnedSlots} from './slotOwnership.js';
 
 /** One request in a slot of the endpoint. */
@@ -59,6 +59,7 @@
 	readonly endpoint: Endpoint;
 	readonly region: string;
 	readonly isNew: boolean;
+	readonly meanUse: MeanUse;
 	readonly onHealthChange: HealthChange;
 };
 
@@ -68,10 +69,10 @@
  * @param options - The endpoint and where it is.
  * @returns The tracker, with nothing owned.
  */
-export const createEndpointTracker = ({clock, endpoint, region, isNew, onHealthChange}: TrackerOptions): EndpointTracker => {
+export const createEndpointTracker = ({clock, endpoint, region, isNew, meanUse, onHealthChange}: TrackerOptions): EndpointTracker => {
 	const health = createEndpointHealth(clock, isNew, onHealthChange);
 	const limit = createAdaptiveLimit(clock, endpoint.slots);
-	const load = createReportedLoad(clock);
+	const load = createReportedLoad(clock, meanUse);
 	const flights = new Set<Flight>();
 	const leaving = new Set<LeavingSignal>();
 	let longInFlight = 0;
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -85,6 +85,7 @@
 					isReleased = true;
 					tracker.end(flight);
 					inFlight -= 1;
+					pool.meanUse.recordHeld(clock() - flight.startedAtMs);
 					longInFlight -= isLong ? 1 : 0;
 					queue.startReady();
 				}
