--- /dev/null
+++ b/packages/measure/src/experiments/fairness.ts
@@ -0,0 +1,62 @@
+/**
+ * One tenant sends several times its share, up to what the endpoints can carry.
+ */
+import type {Experiment, Figures} from '../experiment.js';
+import {type Policy, startBench} from '../requestPath/bench.js';
+import {
+	latenciesOf, loadBench, lostShare, readRoute, rounded, startedBetween,
+} from '../requestPath/readLoad.js';
+
+const endpoints = 13;
+const meanMs = 40;
+/** Load of all tenants together while each sends its share. */
+const load = 0.7;
+const tenants = 10;
+const excess = 5;
+const heavyTenant = 'tenant0';
+const warmUpMs = 1500;
+const durationMs = 8000;
+const largestRatio = 1.5;
+
+const measure = async (policy: Policy, hasExcess: boolean, seed: number): Promise<Figures> => {
+	const bench = await startBench({
+		seed, policy, entries: 8, endpoints, serviceTimeMs: {kind: 'logNormal', medianMs: meanMs, sigma: 0.2}, routes: [readRoute()],
+	});
+	const weights = Array.from({length: tenants}, (_, index) => ({name: `tenant${index}`, weight: index === 0 && hasExcess ? excess : 1}));
+	const totalWeight = weights.reduce((sum, {weight}) => sum + weight, 0);
+	const records = await loadBench(bench, {
+		requestsPerSecond: load * bench.slots * 1000 / meanMs * totalWeight / tenants, durationMs, seed, tenants: weights,
+	});
+	await bench.stop();
+	const measured = startedBetween(records, warmUpMs, durationMs);
+	const others = measured.filter(({tenant}) => tenant !== heavyTenant);
+	const heavy = measured.filter(({tenant}) => tenant === heavyTenant);
+	return {
+		othersP50Ms: latenciesOf(others).p50Ms,
+		othersP99Ms: latenciesOf(others).p99Ms,
+		othersLostShare: rounded(lostShare(others), 4),
+		heavyP99Ms: latenciesOf(heavy).p99Ms,
+		heavyLostShare: rounded(lostShare(heavy), 4),
+	};
+};
+
+/** Tail latency of other tenants beside one that sends too much. */
+export const experiment: Experiment = {
+	name: 'fairness',
+	description: 'One of ten tenants sends 5 times its share; p99 of the others',
+	async run({seed}) {
+		const baseline = await measure('leastInFlight', true, seed);
+		const even = await measure('borrowed', false, seed);
+		const value = await measure('borrowed', true, seed);
+		const ratio = rounded(value['othersP99Ms']! / even['othersP99Ms']!);
+		return {
+			experiment: 'fairness',
+			seed,
+			baseline,
+			value: {...value, othersP99EvenMs: even['othersP99Ms']!},
+			ratio,
+			bound: `others' p99 with over without the excess <= ${largestRatio}`,
+			ok: ratio <= largestRatio,
+		};
+	},
+};
--- /dev/null
+++ b/packages/measure/src/experiments/misleadingReport.ts
@@ -0,0 +1,50 @@
+/**
+ * One endpoint reports that it is idle and is many times slower than the others.
+ */
+import type {Experiment, Figures} from '../experiment.js';
+import {type Policy, startBench} from '../requestPath/bench.js';
+import {
+	latenciesOf, loadBench, lostShare, readRoute, rounded, startedBetween,
+} from '../requestPath/readLoad.js';
+
+const endpoints = 13;
+const meanMs = 40;
+const load = 0.6;
+const warmUpMs = 2000;
+const durationMs = 8000;
+const largestRatio = 2;
+
+const measure = async (policy: Policy, misleads: boolean, seed: number): Promise<Figures> => {
+	const bench = await startBench({
+		seed, policy, entries: 8, endpoints, serviceTimeMs: {kind: 'logNormal', medianMs: meanMs, sigma: 0.2}, routes: [readRoute()],
+	});
+	if (misleads) {
+		await bench.upstreams[0]!.setFaults({report: 'idle', slowFactor: 10});
+	}
+
+	const records = await loadBench(bench, {requestsPerSecond: load * bench.slots * 1000 / meanMs, durationMs, seed});
+	await bench.stop();
+	const {p50Ms, p99Ms} = latenciesOf(startedBetween(records, warmUpMs, durationMs));
+	return {p50Ms, p99Ms, lostShare: rounded(lostShare(records), 4)};
+};
+
+/** Tail latency beside an endpoint whose report misleads. */
+export const experiment: Experiment = {
+	name: 'misleading-report',
+	description: 'One endpoint reports idle and is 10 times slower; p99 of reads',
+	async run({seed}) {
+		const baseline = await measure('shared', true, seed);
+		const honest = await measure('borrowed', false, seed);
+		const value = await measure('borrowed', true, seed);
+		const ratio = rounded(value['p99Ms']! / honest['p99Ms']!);
+		return {
+			experiment: 'misleading-report',
+			seed,
+			baseline,
+			value: {...value, p99HonestMs: honest['p99Ms']!},
+			ratio,
+			bound: `p99 with over p99 without <= ${largestRatio}`,
+			ok: ratio <= largestRatio,
+		};
+	},
+};
--- /dev/null
+++ b/packages/measure/src/experiments/shortBehindLong.ts
@@ -0,0 +1,69 @@
+/**
+ * Short requests share their endpoints with a few that take many times longer.
+ */
+import type {Experiment, Figures} from '../experiment.js';
+import {type Policy, startBench} from '../requestPath/bench.js';
+import {
+	latenciesOf, loadBench, lostShare, readLoad, readRoute, rounded, startedBetween,
+} from '../requestPath/readLoad.js';
+
+const endpoints = 13;
+const shortMs = 15;
+const longFactor = 50;
+const longShare = 0.1;
+const load = 0.7;
+const warmUpMs = 3000;
+const durationMs = 9000;
+const largestRatio = 2;
+const deadlineMs = 20_000;
+
+const routes = [
+	readRoute({name: 'report', pathPrefix: '/report', hedge: false, deadlineMs}),
+	readRoute({name: 'read'}),
+];
+const shortLoad = readLoad({weight: 1 - longShare});
+const longLoad = readLoad({
+	name: 'report', path: `${readLoad().path.replace('items', 'report')}?workFactor=${longFactor}`, weight: longShare, deadlineMs,
+});
+const meanMs = shortMs * ((1 - longShare) + (longShare * longFactor));
+
+const measure = async (policy: Policy, hasLong: boolean, seed: number): Promise<Figures> => {
+	const bench = await startBench({
+		seed, policy, entries: 8, endpoints, serviceTimeMs: {kind: 'logNormal', medianMs: shortMs, sigma: 0.2}, routes,
+	});
+	const requestsPerSecond = load * bench.slots * 1000 / meanMs;
+	const records = await loadBench(bench, {
+		requestsPerSecond: hasLong ? requestsPerSecond : requestsPerSecond * (1 - longShare),
+		durationMs,
+		seed,
+		routes: hasLong ? [longLoad, shortLoad] : [shortLoad],
+	});
+	await bench.stop();
+	const measured = startedBetween(records, warmUpMs, durationMs);
+	const short = latenciesOf(measured.filter(({route}) => route === 'read'));
+	const long = latenciesOf(measured.filter(({route}) => route === 'report'));
+	return {
+		shortP50Ms: short.p50Ms, shortP99Ms: short.p99Ms, longP50Ms: long.p50Ms, longP99Ms: long.p99Ms, lostShare: rounded(lostShare(records), 4),
+	};
+};
+
+/** Tail latency of short requests beside long ones. */
+export const experiment: Experiment = {
+	name: 'short-behind-long',
+	description: '10% of requests take 50 times longer, at 70% load; p99 of the short ones',
+	async run({seed}) {
+		const baseline = await measure('leastInFlight', true, seed);
+		const alone = await measure('borrowed', false, seed);
+		const value = await measure('borrowed', true, seed);
+		const ratio = rounded(value['shortP99Ms']! / alone['shortP99Ms']!);
+		return {
+			experiment: 'short-behind-long',
+			seed,
+			baseline,
+			value: {...value, shortAloneP99Ms: alone['shortP99Ms']!},
+			ratio,
+			bound: `p99 of the short over their p99 alone <= ${largestRatio}`,
+			ok: ratio <= largestRatio,
+		};
+	},
+};
--- /dev/null
+++ b/packages/measure/src/experiments/stragglers.ts
@@ -0,0 +1,55 @@
+/**
+ * A few answers take many times longer than the rest, at any endpoint.
+ */
+import type {Experiment, Figures} from '../experiment.js';
+import {type Policy, startBench} from '../requestPath/bench.js';
+import {
+	latenciesOf, loadBench, lostShare, readRoute, rounded, startedBetween,
+} from '../requestPath/readLoad.js';
+
+const endpoints = 13;
+const meanMs = 40;
+const load = 0.5;
+const warmUpMs = 1500;
+const durationMs = 7000;
+const faults = {stragglerProbability: 0.01, stragglerFactor: 20};
+const largestRatio = 3;
+const mostExtraAttempts = 0.05;
+
+const measure = async (policy: Policy, hasStragglers: boolean, seed: number): Promise<Figures> => {
+	const bench = await startBench({
+		seed, policy, entries: 8, endpoints, serviceTimeMs: {kind: 'logNormal', medianMs: meanMs, sigma: 0.2}, routes: [readRoute()],
+	});
+	if (hasStragglers) {
+		await Promise.all(bench.upstreams.map(async upstream => upstream.setFaults(faults)));
+	}
+
+	const records = await loadBench(bench, {requestsPerSecond: load * bench.slots * 1000 / meanMs, durationMs, seed});
+	const extraAttempts = (bench.runs() / records.length) - 1;
+	await bench.stop();
+	const {p50Ms, p99Ms, maximumMs} = latenciesOf(startedBetween(records, warmUpMs, durationMs));
+	return {
+		p50Ms, p99Ms, maximumMs, lostShare: rounded(lostShare(records), 4), extraAttempts: rounded(extraAttempts, 4),
+	};
+};
+
+/** Tail latency with stragglers. */
+export const experiment: Experiment = {
+	name: 'stragglers',
+	description: '1% of answers take 20 times longer; p99 and the extra attempts that hedges make',
+	async run({seed}) {
+		const baseline = await measure('leastInFlight', true, seed);
+		const without = await measure('borrowed', false, seed);
+		const value = await measure('borrowed', true, seed);
+		const ratio = rounded(value['p99Ms']! / without['p99Ms']!);
+		return {
+			experiment: 'stragglers',
+			seed,
+			baseline,
+			value: {...value, p99WithoutStragglersMs: without['p99Ms']!},
+			ratio,
+			bound: `p99 with over p99 without <= ${largestRatio}; extra attempts <= ${mostExtraAttempts}`,
+			ok: ratio <= largestRatio && value['extraAttempts']! <= mostExtraAttempts,
+		};
+	},
+};
--- a/packages/measure/src/requestPath/bench.ts
+++ b/packages/measure/src/requestPath/bench.ts
@@ -5,7 +5,7 @@
  */
 import {silentLogger} from '@filbertwell/logger/logger';
 import {type CallerServer, createCallerServer, defaultCallerServerSettings} from '@filbertwell/entry/callerServer';
-import {createUpstreamClient} from '@filbertwell/entry/upstreamClient';
+import {createUpstreamClient, type UpstreamClient} from '@filbertwell/entry/upstreamClient';
 import type {Orders} from '@filbertwell/orders/orders';
 import {createRouter, type Router} from '@filbertwell/routing/createRouter';
 import type {SlotDivision} from '@filbertwell/routing/endpointChoice';
@@ -103,7 +103,7 @@
 	return {id: `e${index}`, region: regionOf(availabilityZone), availabilityZone};
 };
 
-const createBenchRouter = ({policy, seed, entries, baselineAttempts = 1}: BenchOptions, index: number): Router => {
+const createBenchRouter = ({policy, seed, entries, baselineAttempts = 1}: BenchOptions, index: number, upstreams: UpstreamClient): Router => {
 	if (policy === 'roundRobin' || policy === 'leastInFlight') {
 		return createBaselineRouter({
 			clock: monotonicClock, policy, attempts: baselineAttempts, random: createRandom((seed * 100) + index),
@@ -117,6 +117,7 @@
 		metrics: {increment: () => undefined},
 		self: selfOf(index),
 		chooseZone: () => undefined,
+		fetchReport: upstreams.fetchReport,
 		slotDivision: policy,
 	});
 	router.setEntries(Array.from({length: entries}, (_, other) => selfOf(other)));
@@ -124,8 +125,8 @@
 };
 
 const startEntry = async (options: BenchOptions, configuration: Configuration, index: number): Promise<Entry> => {
-	const router = createBenchRouter(options, index);
 	const upstreams = createUpstreamClient();
+	const router = createBenchRouter(options, index, upstreams);
 	const polling = new AbortController();
 	router.configure(configuration);
 	const server = await createCallerServer({
--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -1,7 +1,7 @@
 /**
  * Budget for attempts beyond the first. Each request pays in a fraction of an attempt, each
  * extra attempt takes out a whole one, and little is saved up, so that extra attempts stay
- * under that fraction of the requests however many attempts fail. Retries and hedges share
+ * under that fraction of the requests however many attempts fail; at first nothing is saved. Retries and hedges share
  * the retry budget of 10%; hedges also have their own of 5%, so that hedging cannot use up
  * what retries need, and both together never pass 1.1 attempts for each request.
  */
@@ -25,13 +25,13 @@
 const savedAttempts = 10;
 
 /**
- * Creates a budget with all its savings.
+ * Creates an empty budget.
  *
  * @param share - Extra attempts for each request, from 0 to 1.
  * @returns The budget.
  */
 export const createAttemptBudget = (share: number): AttemptBudget => {
-	let level = savedAttempts;
+	let level = 0;
 	const hasRoom = () => level >= 1;
 	return {
 		recordRequest() {
--- a/packages/routing/src/createRouter.ts
+++ b/packages/routing/src/createRouter.ts
@@ -16,6 +16,7 @@
 import type {EndpointTracker} from './endpointTracker.js';
 import {createLinkCaps} from './linkCap.js';
 import type {Self} from './localityOrder.js';
+import type {FetchReport} from './roomSearch.js';
 import type {RoutedRequest, RouteOutcome} from './routedRequest.js';
 import {type Schedule, scheduleTimeout} from './scheduler.js';
 import {type ServiceRouter, createServiceRouter} from './serviceRouter.js';
@@ -33,6 +34,8 @@
 	readonly self: Self;
 	/** Zone of the next request by steering; `undefined` leaves the choice to locality. */
 	readonly chooseZone: (service: string) => string | undefined;
+	/** Asks an endpoint for its load; without it only reports on answers and by `observeReport` are known. */
+	readonly fetchReport?: FetchReport;
 	/** Timers; those of the process by default. */
 	readonly schedule?: Schedule;
 	/** How slots are divided between entries; `borrowed` by default. */
@@ -67,7 +70,7 @@
  * @returns The router.
  */
 export const createRouter = (options: RouterOptions): Router => {
-	const {clock, random, log, metrics, self, chooseZone, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
+	const {clock, random, log, metrics, self, chooseZone, fetchReport = async () => undefined, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
 	const linkCaps = createLinkCaps(clock, self.region);
 	const services = new Map<string, ServiceRouter>();
 	let weights: ReadonlyMap<string, number> = new Map();
@@ -84,6 +87,7 @@
 		self,
 		linkCaps,
 		division: slotDivision,
+		fetchReport,
 		chooseZone: () => chooseZone(service),
 		weightOf: tenant => weights.get(tenant) ?? defaultWeight,
 		onAttempt(cause) {
--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -5,6 +5,9 @@
  * wins, its work counted higher when it is slow: a plain minimum would send all entries to the
  * same endpoint at once.
  *
+ * Nothing is borrowed while the endpoints are full: what a report shows as free is then a slot
+ * between two requests of its owner.
+ *
  * Left out are endpoints that are leaving, ejected ones (unless more than half of the service's
  * endpoints are: then the fault is likely not theirs, and none is left out), and, while there
  * is another, those whose oldest request has been waiting for several times its usual time.
@@ -37,11 +40,17 @@
 	readonly random: Random;
 	readonly linkCaps: LinkCaps;
 	readonly division: SlotDivision;
+	/** Whether the endpoints are too full for borrowing. */
+	readonly isFull: () => boolean;
 };
 
 const stalledAge = 4;
-const roomForShort = 1;
-const roomForLong = 2;
+/** Free slots that a fresh report must show; one for rounding less than a whole. */
+const freshRoom = 0.9;
+/** Further free slots that the estimate must show as the report grows old. */
+const staleRoom = 1.1;
+/** Further free slots for a long request, so that a short one still finds room. */
+const longRoom = 1;
 
 /** Whether an endpoint takes no new work. */
 export const isLeaving = (tracker: EndpointTracker): boolean => tracker.leavingSignals().length > 0;
@@ -51,8 +60,10 @@
 	return tracker.inFlight() < slots && (!isLong || tracker.longInFlight() < forLong);
 };
 
-const hasRoom = (tracker: EndpointTracker, isLong: boolean): boolean =>
-	tracker.inFlight() < tracker.slots() && tracker.free() >= (isLong ? roomForLong : roomForShort);
+const hasRoom = (tracker: EndpointTracker, isLong: boolean): boolean => {
+	const neededRoom = freshRoom + ((1 - tracker.trust()) * staleRoom) + (isLong ? longRoom : 0);
+	return tracker.inFlight() < tracker.slots() && tracker.free() >= neededRoom;
+};
 
 const relativeWork = (tracker: EndpointTracker): number =>
 	(tracker.inUse() + 1) / tracker.slots() * Math.max(1, tracker.health.slowness()) / tracker.health.share();
@@ -63,7 +74,7 @@
  * @param options - Random numbers, link caps and the way of dividing slots.
  * @returns Chooses an endpoint with room; `undefined` when none has.
  */
-export const createEndpointChoice = ({random, linkCaps, division}: ChoiceOptions): EndpointChoice => {
+export const createEndpointChoice = ({random, linkCaps, division, isFull}: ChoiceOptions): EndpointChoice => {
 	const draw = (candidates: readonly EndpointTracker[]) => candidates[Math.floor(random() * candidates.length)];
 
 	const lighterOfTwo = (candidates: readonly EndpointTracker[]): EndpointTracker | undefined => {
@@ -88,7 +99,7 @@
 			return lighterOfTwo(preferSteady(owned));
 		}
 
-		const roomy = division === 'owned' ? [] : candidates.filter(candidate => hasRoom(candidate, isLong));
+		const roomy = division === 'owned' || (division === 'borrowed' && isFull()) ? [] : candidates.filter(candidate => hasRoom(candidate, isLong));
 		return lighterOfTwo(preferSteady(roomy));
 	};
 
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -36,7 +36,7 @@
 };
 
 /** Parameters of a pool. */
-export type PoolOptions = ChoiceOptions & {
+export type PoolOptions = Omit<ChoiceOptions, 'isFull'> & {
 	readonly clock: Clock;
 	readonly self: Self;
 	readonly onHealthChange: (endpointId: string, state: HealthState, reason: EjectionReason | undefined) => void;
@@ -50,8 +50,8 @@
  */
 export const createEndpointPool = (options: PoolOptions): EndpointPool => {
 	const {clock, self, division, onHealthChange} = options;
-	const choose = createEndpointChoice(options);
 	const meanUse = createMeanUse();
+	const choose = createEndpointChoice({...options, isFull: meanUse.isFull});
 	let byId: ReadonlyMap<string, EndpointTracker> = new Map();
 	let trackers: readonly EndpointTracker[] = [];
 
--- a/packages/routing/src/endpointTracker.ts
+++ b/packages/routing/src/endpointTracker.ts
@@ -36,6 +36,8 @@
 	readonly setOwned: (owned: OwnedSlots) => void;
 	/** Slots that are free for this entry to borrow, by estimate. */
 	readonly free: () => number;
+	/** How much the latest report is worth by now, from 0 to 1. */
+	readonly trust: () => number;
 	/** Slots in use by all entries, by estimate. */
 	readonly inUse: () => number;
 	readonly slots: () => number;
@@ -115,10 +117,15 @@
 			owned = newOwned;
 		},
 		free: () => slots() - others() - flights.size,
+		trust: load.trust,
 		inUse: () => Math.min(slots(), others() + flights.size),
 		slots,
 		observeReport(report, atMs, isOnAnswer) {
 			load.observe(report, atMs, flights.size - (isOnAnswer ? 1 : 0));
+			if (!isOnAnswer) {
+				meanUse.record(report.inUse + report.queued, report.slots);
+			}
+
 			limit.setSlots(endpoint.slots === 0 ? report.slots : Math.min(endpoint.slots, report.slots > 0 ? report.slots : endpoint.slots));
 			if (report.state === 'leaving') {
 				leaving.add('report');
--- a/packages/routing/src/reportedLoad.ts
+++ b/packages/routing/src/reportedLoad.ts
@@ -1,9 +1,12 @@
 /**
  * Work of other entries at an endpoint, from its load reports. A report says much for about as
- * long as a request takes, then little; as it ages, the estimate moves over to what reports of
- * all endpoints of the service say on average, so that under light load an entry borrows
- * without a fresh report and under heavy load it does not. Our own requests in flight are known
- * exactly and are never taken from a report.
+ * long as a request takes, then little; as it ages, the estimate moves over to the mean use of
+ * all endpoints of the service, so that under light load an entry borrows without a fresh
+ * report and under heavy load it does not. Our own requests in flight are known exactly and are
+ * never taken from a report.
+ *
+ * The mean use is taken only from reports that were asked for. Those on answers are drawn at
+ * the moments at which a slot has just come free: they show room even where all is full.
  */
 import type {LoadReport} from '@filbertwell/types/loadReport';
 import type {Clock} from '@filbertwell/utils/clock';
@@ -13,12 +16,15 @@
 	/** Slots in use over slots, from 0; above 1 while requests wait at the endpoints. */
 	readonly value: () => number;
 	readonly record: (inUse: number, slots: number) => void;
+	/** Whether the endpoints are so full that what looks free is just changing hands. */
+	readonly isFull: () => boolean;
 	/** Time for which a report is good, in milliseconds: about that of a request. */
 	readonly agingMs: () => number;
 	readonly recordHeld: (milliseconds: number) => void;
 };
 
-const useWeight = 0.03;
+const useWeight = 0.08;
+const fullUse = 0.9;
 const heldWeight = 0.03;
 const largestUse = 1.5;
 const firstAgingMs = 50;
@@ -34,6 +40,7 @@
 	let heldMs = firstAgingMs;
 	return {
 		value: () => use,
+		isFull: () => use > fullUse,
 		record(inUse, slots) {
 			use += useWeight * (Math.min(largestUse, inUse / Math.max(1, slots)) - use);
 		},
@@ -53,6 +60,8 @@
 	 * @param ownInFlight - Our requests in flight there at that time, as far as the report counts them.
 	 */
 	readonly observe: (report: LoadReport, atMs: number, ownInFlight: number) => void;
+	/** How much the latest report is worth by now, from 0 to 1. */
+	readonly trust: () => number;
 	/** Requests of other entries there now, by estimate; `slots` are those that are not ours. */
 	readonly others: (slots: number) => number;
 	readonly latest: () => LoadReport | undefined;
@@ -71,6 +80,8 @@
 	let latest: LoadReport | undefined;
 	let receivedAtMs = -Infinity;
 	let reportedOthers = 0;
+	const trust = () => latest === undefined ? 0 : Math.exp((receivedAtMs - clock()) / meanUse.agingMs());
+
 	return {
 		observe(report, atMs, ownInFlight) {
 			if (atMs < receivedAtMs) {
@@ -80,12 +91,12 @@
 			latest = report;
 			receivedAtMs = atMs;
 			reportedOthers = Math.max(0, report.inUse + report.queued - ownInFlight);
-			meanUse.record(report.inUse + report.queued, report.slots);
 		},
 		others(slots) {
-			const trust = latest === undefined ? 0 : Math.exp((receivedAtMs - clock()) / meanUse.agingMs());
-			return (trust * reportedOthers) + ((1 - trust) * meanUse.value() * slots);
+			const worth = trust();
+			return (worth * reportedOthers) + ((1 - worth) * meanUse.value() * slots);
 		},
+		trust,
 		latest: () => latest,
 		ageMs: () => clock() - receivedAtMs,
 	};
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -8,11 +8,12 @@
 import {createAttemptBudget, hedgeShare, retryShare} from './attemptBudget.js';
 import {type Waiter, createClassQueue} from './classQueue.js';
 import {type RouteDuration, createServiceDurations} from './durationEstimate.js';
-import type {Need} from './endpointChoice.js';
+import {type Need, isLeaving} from './endpointChoice.js';
 import {type PoolLayout, type PoolOptions, createEndpointPool} from './endpointPool.js';
 import type {EndpointTracker} from './endpointTracker.js';
 import {type Tier, localityOrder} from './localityOrder.js';
 import {type Refusal, runRequest} from './requestRun.js';
+import {type FetchReport, createRoomSearch} from './roomSearch.js';
 import type {RefusalReason, RoutedRequest, RouteOutcome} from './routedRequest.js';
 import type {Lease} from './runningAttempt.js';
 import type {Schedule} from './scheduler.js';
@@ -35,6 +36,7 @@
 	readonly chooseZone: () => string | undefined;
 	readonly weightOf: (tenant: string) => number;
 	readonly onAttempt: (cause: AttemptCause) => void;
+	readonly fetchReport: FetchReport;
 };
 
 /** Room that other entries leave shows only in reports, so a waiting queue looks again. */
@@ -49,12 +51,15 @@
  * @returns The router, which refuses all requests before `configure`.
  */
 export const createServiceRouter = (options: ServiceRouterOptions): ServiceRouter => {
-	const {clock, schedule, self, linkCaps, chooseZone, weightOf, onAttempt} = options;
+	const {clock, schedule, self, linkCaps, chooseZone, weightOf, onAttempt, fetchReport, random} = options;
 	const pool = createEndpointPool(options);
 	const durations = createServiceDurations();
 	const queue = createClassQueue(weightOf);
 	const retryBudget = createAttemptBudget(retryShare);
 	const hedgeBudget = createAttemptBudget(hedgeShare);
+	const roomSearch = createRoomSearch({
+		clock, random, fetchReport, meanUse: pool.meanUse, onReports: queue.startReady,
+	});
 	const tiersByZone = new Map<string, readonly Tier[]>();
 	let inFlight = 0;
 	let longInFlight = 0;
@@ -101,9 +106,18 @@
 	const lookAgain = () => {
 		isLookingAgain = false;
 		queue.startReady();
+		if (queue.size() > 0) {
+			searchRoom(undefined);
+		}
+
 		lookAgainLater();
 	};
 
+	const searchRoom = (zone: string | undefined) => {
+		const near = tiersFor(zone).flatMap(tier => tier.trackers);
+		roomSearch.search(near.filter(tracker => tracker.inFlight() < tracker.slots() && !isLeaving(tracker) && tracker.health.state() === 'healthy'));
+	};
+
 	const lookAgainLater = () => {
 		if (!isLookingAgain && queue.size() > 0) {
 			isLookingAgain = true;
@@ -151,6 +165,7 @@
 				finish(refusal('queueFull', 'too many requests wait for this service'));
 			}
 
+			searchRoom(undefined);
 			lookAgainLater();
 		});
 	};
