--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -1,7 +1,7 @@
 /**
  * Choice of an endpoint for a request that is next in its queue. Within each tier of the
  * locality order, first a slot that this entry owns, then one borrowed where a fresh report
- * shows room. Among several, two are drawn at random and the one with less work for its slots
+ * shows room, then an owned one that another entry seems to have borrowed. Among several, two are drawn at random and the one with less work for its slots
  * wins, its work counted higher when it is slow: a plain minimum would send all entries to the
  * same endpoint at once.
  *
@@ -49,6 +49,8 @@
 const freshRoom = 0.9;
 /** Further free slots that the estimate must show as the report grows old. */
 const staleRoom = 1.1;
+/** Free slots below which another entry has likely borrowed what this one owns. */
+const roomOfOwner = 0.5;
 /** Further free slots for a long request, so that a short one still finds room. */
 const longRoom = 1;
 
@@ -95,12 +97,13 @@
 
 	const chooseIn = (candidates: readonly EndpointTracker[], isLong: boolean): EndpointTracker | undefined => {
 		const owned = division === 'shared' ? [] : candidates.filter(candidate => ownsFreeSlot(candidate, isLong));
-		if (owned.length > 0) {
-			return lighterOfTwo(preferSteady(owned));
+		const unborrowed = owned.filter(candidate => candidate.free() >= roomOfOwner);
+		if (unborrowed.length > 0) {
+			return lighterOfTwo(preferSteady(unborrowed));
 		}
 
 		const roomy = division === 'owned' || (division === 'borrowed' && isFull()) ? [] : candidates.filter(candidate => hasRoom(candidate, isLong));
-		return lighterOfTwo(preferSteady(roomy));
+		return lighterOfTwo(preferSteady(roomy)) ?? lighterOfTwo(preferSteady(owned));
 	};
 
 	const probe = (trackers: readonly EndpointTracker[]): EndpointTracker | undefined => {
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -29,6 +29,8 @@
 	readonly find: (endpointId: string) => EndpointTracker | undefined;
 	readonly choose: (need: Need) => EndpointTracker | undefined;
 	readonly setLeaving: (signal: LeavingSignal, isLeaving: (endpointId: string) => boolean) => void;
+	/** Slots of healthy endpoints that this entry owns. */
+	readonly ownedSlots: () => number;
 	/** Mean use of the endpoints by their reports. */
 	readonly meanUse: MeanUse;
 	/** Whether any endpoint takes new work. */
@@ -100,6 +102,7 @@
 				tracker.setLeaving(signal, isLeavingNow(tracker.endpoint.id));
 			}
 		},
+		ownedSlots: () => trackers.reduce((total, tracker) => total + (tracker.health.state() === 'healthy' ? tracker.owned().slots : 0), 0),
 		meanUse,
 		hasUsable: () => trackers.some(tracker => !isLeaving(tracker)),
 	};
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -15,6 +15,7 @@
 import {type Refusal, runRequest} from './requestRun.js';
 import {type FetchReport, createRoomSearch} from './roomSearch.js';
 import type {RefusalReason, RoutedRequest, RouteOutcome} from './routedRequest.js';
+import {createTenantShares} from './tenantShares.js';
 import type {Lease} from './runningAttempt.js';
 import type {Schedule} from './scheduler.js';
 
@@ -42,6 +43,9 @@
 /** Room that other entries leave shows only in reports, so a waiting queue looks again. */
 const lookAgainMs = 10;
 
+const slotsLeftToOthers = 1;
+const useWithoutContention = 0.6;
+
 const refusal = (reason: RefusalReason, detail: string): Refusal => ({kind: 'refused', reason, detail});
 
 /**
@@ -55,6 +59,7 @@
 	const pool = createEndpointPool(options);
 	const durations = createServiceDurations();
 	const queue = createClassQueue(weightOf);
+	const shares = createTenantShares(clock, weightOf);
 	const retryBudget = createAttemptBudget(retryShare);
 	const hedgeBudget = createAttemptBudget(hedgeShare);
 	const roomSearch = createRoomSearch({
@@ -73,12 +78,13 @@
 		return tiers;
 	};
 
-	const lease = (tracker: EndpointTracker, duration: RouteDuration): Lease => {
+	const lease = (tracker: EndpointTracker, duration: RouteDuration, tenant: string): Lease => {
 		const isLong = duration.isLong();
 		const flight = {
 			startedAtMs: clock(), expectedMs: duration.firstByte(tracker.region).medianMs(), isLong, hasAnswer: false,
 		};
 		tracker.start(flight);
+		shares.start(tenant);
 		inFlight += 1;
 		longInFlight += isLong ? 1 : 0;
 		let isReleased = false;
@@ -89,6 +95,7 @@
 				if (!isReleased) {
 					isReleased = true;
 					tracker.end(flight);
+					shares.end(tenant);
 					inFlight -= 1;
 					pool.meanUse.recordHeld(clock() - flight.startedAtMs);
 					longInFlight -= isLong ? 1 : 0;
@@ -98,9 +105,15 @@
 		};
 	};
 
-	const tryLease = (need: Need, duration: RouteDuration): Lease | undefined => {
-		const tracker = pool.choose(need);
-		return tracker === undefined ? undefined : lease(tracker, duration);
+	/** Whether a tenant that uses more than its share must leave the last slot to others. */
+	const mustLeaveLast = (tenant: string): boolean => {
+		const slots = pool.ownedSlots();
+		return inFlight >= slots - slotsLeftToOthers && pool.meanUse.value() > useWithoutContention && shares.isOverShare(tenant, slots);
+	};
+
+	const tryLease = (need: Need, duration: RouteDuration, tenant: string): Lease | undefined => {
+		const tracker = mustLeaveLast(tenant) ? undefined : pool.choose(need);
+		return tracker === undefined ? undefined : lease(tracker, duration, tenant);
 	};
 
 	const lookAgain = () => {
@@ -140,7 +153,7 @@
 				requestClass: request.route.requestClass,
 				lane,
 				tryStart() {
-					const started = tryLease(need, duration);
+					const started = tryLease(need, duration, request.tenant);
 					if (started !== undefined) {
 						finish(started);
 					}
@@ -183,7 +196,7 @@
 			return refusal('noEndpoint', 'no endpoint of the service takes new work');
 		}
 
-		const leased = aheadMs === 0 ? tryLease(need, duration) : undefined;
+		const leased = aheadMs === 0 ? tryLease(need, duration, request.tenant) : undefined;
 		if (leased !== undefined) {
 			return leased;
 		}
@@ -215,6 +228,7 @@
 			const lane = `${tiers[0]?.trackers[0]?.region ?? ''}/${isLong ? 'long' : 'short'}`;
 			const needBase = {tiers, isLong, mayProbe: request.route.kind === 'idempotent'};
 			duration.recordArrival();
+			shares.recordArrival(request.tenant);
 			retryBudget.recordRequest();
 			hedgeBudget.recordRequest();
 			return runRequest({
@@ -231,7 +245,7 @@
 					? undefined
 					: tryLease({
 						...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
-					}, duration),
+					}, duration, request.tenant),
 				countBytes(tracker, sent, received) {
 					if (tracker.region !== self.region) {
 						linkCaps.count(tracker.region, sent, received);
--- a/packages/routing/src/slotOwnership.ts
+++ b/packages/routing/src/slotOwnership.ts
@@ -96,10 +96,13 @@
 	const slots = endpoints.flatMap(endpoint => Array.from({length: endpoint.slots}, (_, slot) => ({endpoint, slot})));
 	const isShort = ({endpoint, slot}: {endpoint: Endpoint; slot: number}) => endpoint.slots > 1 && slot === shortSlot;
 	const owned = new Map<string, OwnedSlots>();
-	for (const [part, forLong] of [[slots.filter(slot => isShort(slot)), 0], [slots.filter(slot => !isShort(slot)), 1]] as const) {
-		const taken = new Map<string, string>();
+	const entryCount = Math.max(1, entries.length);
+	const taken = new Map<string, string>();
+	let soFar = 0;
+	for (const [part, forLong] of [[slots.filter(slot => !isShort(slot)), 1], [slots.filter(slot => isShort(slot)), 0]] as const) {
+		soFar += part.length;
 		const claims = claimsOf(part, entries, regionOf);
-		const quota = Math.floor(part.length / Math.max(1, entries.length));
+		const quota = Math.floor(soFar / entryCount);
 		divide(claims, quota, taken);
 		divide(claims, quota + 1, taken);
 		for (const {endpoint, slot} of part) {
--- a/packages/routing/src/tenantFairness.ts
+++ b/packages/routing/src/tenantFairness.ts
@@ -2,7 +2,8 @@
  * Order of waiting requests between tenants: start-time fair queueing. Each tenant has its own
  * first-in-first-out queue and a virtual time that advances by the expected duration of what it
  * runs, divided by its weight; the tenant that is furthest behind goes next. A tenant that sends
- * many times its share waits behind itself, not in front of others.
+ * many times its share waits behind itself, not in front of others. One that sent less than its
+ * share lately has credit, up to a bound, for a burst that goes ahead of the others.
  */
 
 /** Something that waits. */
@@ -38,11 +39,15 @@
 	virtualMs: number;
 };
 
+/** Most virtual time by which a tenant may lag behind, and so go ahead of the others. */
+const creditMs = 1000;
+const takesBetweenSweeps = 256;
+
 const heavier = <Item>(a: TenantQueue<Item>, b: TenantQueue<Item>) => b.items.length / b.weight > a.items.length / a.weight ? b : a;
 
 /**
- * Creates a fair queue. A tenant without waiting items is forgotten, so that the number of
- * tenants known is at most the number of items.
+ * Creates a fair queue. A tenant without waiting items is remembered only until it has all its
+ * credit again, so that the number of tenants known stays bounded.
  *
  * @param weightOf - Weight of a tenant, above 0.
  * @returns The queue.
@@ -51,11 +56,12 @@
 	const tenants = new Map<string, TenantQueue<Item>>();
 	let size = 0;
 	let virtualMs = 0;
+	let takes = 0;
 
 	const next = () => {
 		let best: TenantQueue<Item> | undefined;
 		for (const queue of tenants.values()) {
-			if (best === undefined || queue.virtualMs < best.virtualMs) {
+			if (queue.items.length > 0 && (best === undefined || queue.virtualMs < best.virtualMs)) {
 				best = queue;
 			}
 		}
@@ -63,28 +69,36 @@
 		return best;
 	};
 
-	const forgetIfEmpty = (tenant: string, queue: TenantQueue<Item>) => {
-		if (queue.items.length === 0) {
-			tenants.delete(tenant);
+	const sweep = () => {
+		for (const [tenant, queue] of tenants) {
+			if (queue.items.length === 0 && queue.virtualMs <= virtualMs - creditMs) {
+				tenants.delete(tenant);
+			}
+		}
+	};
+
+	const queueOf = (tenant: string): TenantQueue<Item> => {
+		let queue = tenants.get(tenant);
+		if (queue === undefined) {
+			queue = {
+				items: [], weight: weightOf(tenant), costMs: 0, virtualMs: virtualMs - creditMs,
+			};
+			tenants.set(tenant, queue);
+		} else if (queue.items.length === 0) {
+			queue.virtualMs = Math.max(queue.virtualMs, virtualMs - creditMs);
 		}
+
+		return queue;
 	};
 
 	const discard = (item: Item, queue: TenantQueue<Item>) => {
 		size -= 1;
 		queue.costMs -= item.costMs;
-		forgetIfEmpty(item.tenant, queue);
 	};
 
 	return {
 		push(item) {
-			let queue = tenants.get(item.tenant);
-			if (queue === undefined) {
-				queue = {
-					items: [], weight: weightOf(item.tenant), costMs: 0, virtualMs,
-				};
-				tenants.set(item.tenant, queue);
-			}
-
+			const queue = queueOf(item.tenant);
 			queue.items.push(item);
 			queue.costMs += item.costMs;
 			size += 1;
@@ -100,6 +114,11 @@
 			virtualMs = Math.max(virtualMs, queue.virtualMs);
 			queue.virtualMs += item.costMs / queue.weight;
 			discard(item, queue);
+			takes += 1;
+			if (takes % takesBetweenSweeps === 0) {
+				sweep();
+			}
+
 			return item;
 		},
 		dropNewest() {
@@ -129,13 +148,14 @@
 		size: () => size,
 		costAheadMs(tenant) {
 			const own = tenants.get(tenant);
-			const ownWeight = own?.weight ?? weightOf(tenant);
-			const ownShareMs = ((own?.costMs ?? 0) / ownWeight) + (own === undefined ? 0 : own.virtualMs - virtualMs);
-			let aheadMs = own?.costMs ?? 0;
+			const ownStartMs = Math.max(own?.virtualMs ?? -Infinity, virtualMs - creditMs);
+			const ownCostMs = own?.costMs ?? 0;
+			const ownEndMs = ownStartMs + (ownCostMs / (own?.weight ?? weightOf(tenant)));
+			let aheadMs = ownCostMs;
 			for (const [name, queue] of tenants) {
-				if (name !== tenant) {
-					const reachedMs = Math.max(0, ownShareMs - (queue.virtualMs - virtualMs)) * queue.weight;
-					aheadMs += Math.min(queue.costMs, reachedMs + (queue.items[0]?.costMs ?? 0));
+				const reachMs = (ownEndMs - queue.virtualMs) * queue.weight;
+				if (name !== tenant && queue.items.length > 0 && reachMs >= 0) {
+					aheadMs += Math.min(queue.costMs, reachMs + queue.items[0]!.costMs);
 				}
 			}
 
