--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -6,7 +6,8 @@
  * same endpoint at once.
  *
  * Nothing is borrowed while the endpoints are full: what a report shows as free is then a slot
- * between two requests of its owner.
+ * between two requests of its owner. Long requests stop borrowing much earlier, since they keep
+ * the slot for many times longer than a report is true, and short ones would wait behind them.
  *
  * Left out are endpoints that are leaving, ejected ones (unless more than half of the service's
  * endpoints are: then the fault is likely not theirs, and none is left out), and, while there
@@ -40,8 +41,8 @@
 	readonly random: Random;
 	readonly linkCaps: LinkCaps;
 	readonly division: SlotDivision;
-	/** Whether the endpoints are too full for borrowing. */
-	readonly isFull: () => boolean;
+	/** Whether the endpoints are too full for requests to borrow. */
+	readonly isTooFull: (isLong: boolean) => boolean;
 };
 
 const stalledAge = 4;
@@ -76,7 +77,7 @@
  * @param options - Random numbers, link caps and the way of dividing slots.
  * @returns Chooses an endpoint with room; `undefined` when none has.
  */
-export const createEndpointChoice = ({random, linkCaps, division, isFull}: ChoiceOptions): EndpointChoice => {
+export const createEndpointChoice = ({random, linkCaps, division, isTooFull}: ChoiceOptions): EndpointChoice => {
 	const draw = (candidates: readonly EndpointTracker[]) => candidates[Math.floor(random() * candidates.length)];
 
 	const lighterOfTwo = (candidates: readonly EndpointTracker[]): EndpointTracker | undefined => {
@@ -102,7 +103,7 @@
 			return lighterOfTwo(preferSteady(unborrowed));
 		}
 
-		const roomy = division === 'owned' || (division === 'borrowed' && isFull()) ? [] : candidates.filter(candidate => hasRoom(candidate, isLong));
+		const roomy = division === 'owned' || (division === 'borrowed' && isTooFull(isLong)) ? [] : candidates.filter(candidate => hasRoom(candidate, isLong));
 		return lighterOfTwo(preferSteady(roomy)) ?? lighterOfTwo(preferSteady(owned));
 	};
 
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -38,7 +38,7 @@
 };
 
 /** Parameters of a pool. */
-export type PoolOptions = Omit<ChoiceOptions, 'isFull'> & {
+export type PoolOptions = Omit<ChoiceOptions, 'isTooFull'> & {
 	readonly clock: Clock;
 	readonly self: Self;
 	readonly onHealthChange: (endpointId: string, state: HealthState, reason: EjectionReason | undefined) => void;
@@ -53,7 +53,7 @@
 export const createEndpointPool = (options: PoolOptions): EndpointPool => {
 	const {clock, self, division, onHealthChange} = options;
 	const meanUse = createMeanUse();
-	const choose = createEndpointChoice({...options, isFull: meanUse.isFull});
+	const choose = createEndpointChoice({...options, isTooFull: meanUse.isTooFull});
 	let byId: ReadonlyMap<string, EndpointTracker> = new Map();
 	let trackers: readonly EndpointTracker[] = [];
 
--- a/packages/routing/src/reportedLoad.ts
+++ b/packages/routing/src/reportedLoad.ts
@@ -16,8 +16,8 @@
 	/** Slots in use over slots, from 0; above 1 while requests wait at the endpoints. */
 	readonly value: () => number;
 	readonly record: (inUse: number, slots: number) => void;
-	/** Whether the endpoints are so full that what looks free is just changing hands. */
-	readonly isFull: () => boolean;
+	/** Whether the endpoints are so full that short or long requests must not borrow. */
+	readonly isTooFull: (isLong: boolean) => boolean;
 	/** Time for which a report is good, in milliseconds: about that of a request. */
 	readonly agingMs: () => number;
 	readonly recordHeld: (milliseconds: number) => void;
@@ -25,6 +25,7 @@
 
 const useWeight = 0.08;
 const fullUse = 0.9;
+const fullUseForLong = 0.5;
 const heldWeight = 0.03;
 const largestUse = 1.5;
 const firstAgingMs = 50;
@@ -40,7 +41,7 @@
 	let heldMs = firstAgingMs;
 	return {
 		value: () => use,
-		isFull: () => use > fullUse,
+		isTooFull: isLong => use > (isLong ? fullUseForLong : fullUse),
 		record(inUse, slots) {
 			use += useWeight * (Math.min(largestUse, inUse / Math.max(1, slots)) - use);
 		},
--- a/packages/routing/src/roomSearch.ts
+++ b/packages/routing/src/roomSearch.ts
@@ -65,7 +65,7 @@
 		isRunning = true;
 		await Promise.all(drawSome(candidates).map(async tracker => ask(tracker)));
 		isRunning = false;
-		nextAtMs = clock() + (meanUse.isFull() ? fullIntervalFactor * meanUse.agingMs() : Math.min(roundIntervalMs, meanUse.agingMs()));
+		nextAtMs = clock() + (meanUse.isTooFull(false) ? fullIntervalFactor * meanUse.agingMs() : Math.min(roundIntervalMs, meanUse.agingMs()));
 		onReports();
 	};
 
