--- a/packages/routing/src/attempt.ts
+++ b/packages/routing/src/attempt.ts
@@ -5,7 +5,7 @@
 import type {LoadReport} from '@filbertwell/types/loadReport';
 
 /** Why an attempt is made. */
-export type AttemptCause = 'first' | 'retry' | 'hedge';
+export type AttemptCause = 'first' | 'retry' | 'hedge' | 'probe';
 
 /** What a sender is told of an attempt. */
 export type Attempt = {
--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -1,6 +1,6 @@
 /**
  * Budget for attempts beyond the first. Each request pays in a fraction of an attempt, each
- * extra attempt takes out a whole one, and little is saved up, so that extra attempts stay
+ * extra attempt takes out a whole one, and a bounded number is saved up, so that extra attempts stay
  * under that fraction of the requests however many attempts fail; at first nothing is saved. Retries and hedges share
  * the retry budget of 10%; hedges also have their own of 5%, so that hedging cannot use up
  * what retries need, and both together never pass 1.1 attempts for each request.
@@ -22,7 +22,7 @@
 /** Share of requests that may be hedged. */
 export const hedgeShare = 0.05;
 
-const savedAttempts = 10;
+const savedAttempts = 50;
 
 /**
  * Creates an empty budget.
--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -45,7 +45,7 @@
 	readonly isTooFull: (isLong: boolean) => boolean;
 };
 
-const stalledAge = 4;
+const stalledAge = 2.5;
 /** Free slots that a fresh report must show; one for rounding less than a whole. */
 const freshRoom = 0.9;
 /** Further free slots that the estimate must show as the report grows old. */
@@ -108,7 +108,7 @@
 	};
 
 	const probe = (trackers: readonly EndpointTracker[]): EndpointTracker | undefined => {
-		const due = trackers.find(tracker => tracker.inFlight() === 0 && tracker.health.probeIsDue());
+		const due = trackers.find(tracker => tracker.inFlight() === 0 && tracker.health.probeIsOverdue());
 		due?.health.recordProbe();
 		return due;
 	};
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -8,7 +8,7 @@
 	type ChoiceOptions, type Need, createEndpointChoice, isLeaving,
 } from './endpointChoice.js';
 import {type EndpointTracker, type LeavingSignal, createEndpointTracker} from './endpointTracker.js';
-import type {Self} from './localityOrder.js';
+import type {Self, Tier} from './localityOrder.js';
 import type {EjectionReason, HealthState} from './outlierDetection.js';
 import {type MeanUse, createMeanUse} from './reportedLoad.js';
 import {type SharingEntry, divideSlots} from './slotOwnership.js';
@@ -28,6 +28,8 @@
 	readonly trackers: () => readonly EndpointTracker[];
 	readonly find: (endpointId: string) => EndpointTracker | undefined;
 	readonly choose: (need: Need) => EndpointTracker | undefined;
+	/** Finds an ejected endpoint that is due for a probe, among those of a request's tiers. */
+	readonly chooseProbe: (tiers: readonly Tier[]) => EndpointTracker | undefined;
 	readonly setLeaving: (signal: LeavingSignal, isLeaving: (endpointId: string) => boolean) => void;
 	/** Slots of healthy endpoints that this entry owns. */
 	readonly ownedSlots: () => number;
@@ -97,6 +99,13 @@
 		trackers: () => trackers,
 		find: endpointId => byId.get(endpointId),
 		choose: need => choose(need, trackers),
+		chooseProbe(tiers) {
+			const due = tiers
+				.flatMap(tier => tier.trackers)
+				.find(tracker => tracker.health.probeIsDue() && tracker.inFlight() === 0 && !isLeaving(tracker));
+			due?.health.recordProbe();
+			return due;
+		},
 		setLeaving(signal, isLeavingNow) {
 			for (const tracker of trackers) {
 				tracker.setLeaving(signal, isLeavingNow(tracker.endpoint.id));
--- a/packages/routing/src/hedgePolicy.ts
+++ b/packages/routing/src/hedgePolicy.ts
@@ -1,15 +1,17 @@
 /**
  * When a second attempt starts beside one that is still unanswered. It starts past the 95th
- * percentile of the route's time to first byte, so that about one request in twenty qualifies,
- * and it runs in another availability zone where there is one, since what slows the first
- * often slows its neighbours. The delay is kept within a few medians: while endpoints are slow
- * the percentile rises to their slowness, and a hedge that waits for it comes too late.
+ * percentile of the route's time to first byte, so that at most about one request in twenty
+ * qualifies, and it runs in another availability zone where there is one, since what slows the
+ * first often slows its neighbours. The delay is kept within some medians. Where times differ
+ * little, hedges at the percentile would gain little and use up the budget that the rare very
+ * slow answers need; while endpoints are slow, the percentile rises to their slowness, and a
+ * hedge that waits for it comes too late.
  */
 import type {FirstByteTime} from './durationEstimate.js';
 import type {RoutedRequest} from './routedRequest.js';
 
-const leastMedians = 1.25;
-const mostMedians = 3;
+const leastMedians = 2;
+const mostMedians = 4;
 const smallestDelayMs = 2;
 
 /**
--- a/packages/routing/src/hedgedAttempt.ts
+++ b/packages/routing/src/hedgedAttempt.ts
@@ -1,12 +1,15 @@
 /**
  * An attempt and, if it stays unanswered for too long, a second one beside it. The first good
- * answer wins and the other attempt is cancelled. A failed one waits for the other.
+ * answer wins and the other attempt is cancelled. A failed one waits for the other. While there
+ * is no budget or room for the second, it is tried again.
  */
 import type {AttemptOutcome} from './attempt.js';
 import {hasFailed} from './retryPolicy.js';
 import type {RunningAttempt} from './runningAttempt.js';
 import type {Schedule} from './scheduler.js';
 
+const lookAgainMs = 10;
+
 /** Parameters of a hedged attempt. */
 export type Hedge<Answer> = {
 	readonly primary: RunningAttempt<Answer>;
@@ -64,12 +67,16 @@
 			resolve({attempt, outcome, outcomes});
 		};
 
-		const cancelTimer = schedule(delayMs, () => {
+		const tryHedge = () => {
 			const second = isSettled ? undefined : startSecond();
 			if (second !== undefined) {
 				void follow(second);
+			} else if (!isSettled) {
+				cancelTimer = schedule(lookAgainMs, tryHedge);
 			}
-		});
+		};
+
+		let cancelTimer = schedule(delayMs, tryHedge);
 		void follow(primary);
 	});
 };
--- a/packages/routing/src/outlierDetection.ts
+++ b/packages/routing/src/outlierDetection.ts
@@ -6,7 +6,9 @@
  *
  * `healthy` -> `ejected` when it cannot be reached, when over half of its recent attempts
  * failed, or when it is several times slower than the median. An ejected endpoint gets one
- * probe request at a time, at intervals that double; good probes bring it back in a slow start.
+ * probe at a time, at intervals that double; good probes bring it back in a slow start. A probe
+ * is a copy of an idempotent request that another endpoint runs as well, so that no caller
+ * waits for it; only where none came along for long does a caller's only attempt serve as one.
  */
 import type {Clock} from '@filbertwell/utils/clock';
 import {slowStartShare} from './slowStart.js';
@@ -23,6 +25,8 @@
 	readonly reason: () => EjectionReason | undefined;
 	/** Whether an ejected endpoint may get a probe request now. */
 	readonly probeIsDue: () => boolean;
+	/** Whether a probe has been due for so long that no copy of a request seems to come along. */
+	readonly probeIsOverdue: () => boolean;
 	readonly recordProbe: () => void;
 	/** Moving average of the time to first byte over the usual time of the route; 1 is usual. */
 	readonly slowness: () => number;
@@ -50,6 +54,9 @@
 const minimumAttempts = 5;
 const firstProbeMs = 1000;
 const lastProbeMs = 16_000;
+const overdueMs = 10_000;
+/** A cancelled attempt would have taken longer than it did. */
+const unansweredFactor = 1.5;
 
 /**
  * Creates the health of an endpoint.
@@ -109,6 +116,7 @@
 		state: () => ejection === undefined ? 'healthy' : 'ejected',
 		reason: () => ejection,
 		probeIsDue: () => ejection !== undefined && clock() >= nextProbeAtMs,
+		probeIsOverdue: () => ejection !== undefined && clock() >= nextProbeAtMs + overdueMs,
 		recordProbe() {
 			nextProbeAtMs = clock() + probeMs;
 		},
@@ -118,8 +126,9 @@
 			observe(sample, 0);
 		},
 		recordUnanswered(sample) {
-			if (sample > slowness) {
-				observe(sample, failureRate);
+			const likely = sample * unansweredFactor;
+			if (likely > slowness) {
+				observe(likely, failureRate);
 			}
 		},
 		recordFailure() {
--- a/packages/routing/src/reportedLoad.ts
+++ b/packages/routing/src/reportedLoad.ts
@@ -23,8 +23,8 @@
 	readonly recordHeld: (milliseconds: number) => void;
 };
 
-const useWeight = 0.08;
-const fullUse = 0.9;
+const useWeight = 0.05;
+const fullUse = 0.85;
 const fullUseForLong = 0.5;
 const heldWeight = 0.03;
 const largestUse = 1.5;
--- a/packages/routing/src/requestRun.ts
+++ b/packages/routing/src/requestRun.ts
@@ -10,6 +10,7 @@
 import type {EndpointTracker} from './endpointTracker.js';
 import {awaitHedged} from './hedgedAttempt.js';
 import {hedgeDelayMs} from './hedgePolicy.js';
+import {watchProbe} from './probe.js';
 import {hasFailed, takeRetry} from './retryPolicy.js';
 import type {RefusalReason, RoutedRequest, RouteOutcome} from './routedRequest.js';
 import {type Lease, type RunningAttempt, startAttempt} from './runningAttempt.js';
@@ -35,6 +36,8 @@
 	readonly acquire: (excluded: readonly EndpointTracker[]) => Promise<Lease | Refusal>;
 	/** Takes a slot in another zone than that of a lease, if one is free now. */
 	readonly tryAcquireElsewhere: (first: Lease) => Lease | undefined;
+	/** Takes a slot of an ejected endpoint that is due for a probe. */
+	readonly tryAcquireProbe: () => Lease | undefined;
 	readonly countBytes: (tracker: EndpointTracker, sent: number, received: number) => void;
 	readonly onAttempt: (cause: AttemptCause) => void;
 };
@@ -51,7 +54,7 @@
  * @returns The outcome; an answer's body may still be on its way.
  */
 export const runRequest = async <Answer>(context: RunContext<Answer>): Promise<RouteOutcome<Answer>> => {
-	const {clock, schedule, request, duration, send, retryBudget, hedgeBudget, acquire, tryAcquireElsewhere, countBytes, onAttempt} = context;
+	const {clock, schedule, request, duration, send, retryBudget, hedgeBudget, acquire, tryAcquireElsewhere, tryAcquireProbe, countBytes, onAttempt} = context;
 	const running = new Set<RunningAttempt<Answer>>();
 	const excluded: EndpointTracker[] = [];
 	let attempts = 0;
@@ -93,19 +96,28 @@
 		return attempt;
 	};
 
-	const startHedge = (first: Lease): RunningAttempt<Answer> | undefined => {
+	const startExtra = (cause: 'hedge' | 'probe', take: () => Lease | undefined): RunningAttempt<Answer> | undefined => {
 		if (endedBy !== 'none' || !hedgeBudget.hasRoom() || !retryBudget.hasRoom()) {
 			return undefined;
 		}
 
-		const lease = tryAcquireElsewhere(first);
+		const lease = take();
 		if (lease === undefined) {
 			return undefined;
 		}
 
 		hedgeBudget.tryTake();
 		retryBudget.tryTake();
-		return start(lease, 'hedge');
+		return start(lease, cause);
+	};
+
+	const startProbe = () => {
+		const isSafe = request.replayable && request.route.kind === 'idempotent';
+		const probe = isSafe ? startExtra('probe', tryAcquireProbe) : undefined;
+		if (probe !== undefined) {
+			ranPerhaps = true;
+			void watchProbe(probe, duration, schedule);
+		}
 	};
 
 	const refused = (reason: RefusalReason, detail: string): RouteOutcome<Answer> => ranPerhaps
@@ -151,11 +163,13 @@
 				return request.signal.aborted ? {kind: 'cancelled', written: ranPerhaps, attempts} : refused(lease.reason, lease.detail);
 			}
 
+			const primary = start(lease, attempts === 0 ? 'first' : 'retry');
+			startProbe();
 			const {attempt, outcome, outcomes} = await awaitHedged({ // eslint-disable-line no-await-in-loop
-				primary: start(lease, attempts === 0 ? 'first' : 'retry'),
+				primary,
 				delayMs: hedgeDelayMs(request, duration.firstByte(lease.tracker.region)),
 				schedule,
-				startSecond: () => startHedge(lease),
+				startSecond: () => startExtra('hedge', () => tryAcquireElsewhere(lease)),
 			});
 			// Settled outcomes of a lost hedge count too.
 			ranPerhaps ||= outcomes.some(seen => mayHaveRun(seen));
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -241,11 +241,22 @@
 				hedgeBudget,
 				onAttempt,
 				acquire: async excluded => acquire(request, {...needBase, excluded, otherThanZone: undefined}, duration, lane),
-				tryAcquireElsewhere: first => queue.size() > 0
-					? undefined
-					: tryLease({
-						...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
-					}, duration, request.tenant),
+				tryAcquireElsewhere(first) {
+					const leased = queue.size() > 0
+						? undefined
+						: tryLease({
+							...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
+						}, duration, request.tenant);
+					if (leased === undefined) {
+						searchRoom(zone);
+					}
+
+					return leased;
+				},
+				tryAcquireProbe() {
+					const tracker = pool.chooseProbe(tiers);
+					return tracker === undefined ? undefined : lease(tracker, duration, request.tenant);
+				},
 				countBytes(tracker, sent, received) {
 					if (tracker.region !== self.region) {
 						linkCaps.count(tracker.region, sent, received);
