--- /dev/null
+++ b/packages/configuration/src/collectGarbage.ts
@@ -0,0 +1,253 @@
+/**
+ * Removes old versions and the parts that no kept version names.
+ *
+ * Parts are written under the generation in the row `config/collection`. A collection first raises
+ * the generation in a transaction that also checks the head. A change that was being accepted
+ * meanwhile then fails its own check and writes its parts again under the new generation. So the
+ * keys that this collection removes are never named again, and a removal may come late without harm.
+ */
+import {configurationEvents} from '@filbertwell/logger/events/configurationEvents';
+import type {Logger} from '@filbertwell/logger/logger';
+import type {Platform} from '@filbertwell/platform/platform';
+import {maximumScanRows, maximumTransactionRows} from '@filbertwell/platform/platformLimits';
+import type {Row, RowCheck} from '@filbertwell/platform/table';
+import {
+	err, ok, type Result,
+} from 'neverthrow';
+import type {PartError} from './fetchParts.js';
+import {forEachBounded} from './boundedWork.js';
+import {
+	collectionKey, headKey, parseHead, versionPrefix, type Head,
+} from './head.js';
+import {partKey, partPrefix, type PartReference} from './partReference.js';
+import {listPartTree} from './partTree.js';
+import {createStoreFetcher} from './storedParts.js';
+
+/** Parameters of a collection. */
+export type CollectionOptions = {
+	readonly platform: Platform;
+	/** Versions that stay, the accepted one included; at least 2. */
+	readonly keptVersions: number;
+	/** Version in force at this process; nothing is removed while the table holds a lower one. */
+	readonly versionInForce: number;
+	/** Fence of the lease that this process holds. */
+	readonly fence: () => RowCheck | undefined;
+	readonly log: Logger;
+};
+
+/** What a collection removed. */
+export type Collection = {
+	readonly removedVersions: number;
+	readonly removedParts: number;
+};
+
+/**
+ * Why a collection did not finish. `notHolder`: the lease is not held. `changed`: a configuration
+ * was accepted meanwhile, or another process took the lease. `unavailable`: the platform did not
+ * answer. `unreadable`: a kept version cannot be read. `headBehind`: the table was restored from a backup.
+ */
+export type CollectionError = {
+	readonly kind: 'notHolder' | 'changed' | 'unavailable' | 'unreadable' | 'headBehind';
+	readonly detail: string;
+};
+
+type Base = {
+	readonly head: Head;
+	readonly headRevision: number;
+	readonly generation: number;
+	readonly collectionRevision: number;
+	readonly oldRows: readonly Row[];
+	readonly keptHeads: readonly Head[];
+};
+
+const minimumKeptVersions = 2;
+const removalConcurrency = 4;
+/** Versions removed in one transaction, which also carries the fence. */
+const versionsInTransaction = maximumTransactionRows;
+
+const fail = (kind: CollectionError['kind'], detail: string) => err({kind, detail});
+
+const scanVersions = async (platform: Platform): Promise<Result<Row[], CollectionError>> => {
+	const rows: Row[] = [];
+	for (;;) {
+		// Each page starts where the one before it ends.
+		const page = await platform.table.scan({prefix: versionPrefix, after: rows.at(-1)?.key ?? '', limit: maximumScanRows}); // eslint-disable-line no-await-in-loop
+		if (page.isErr()) {
+			return fail('unavailable', page.error.detail);
+		}
+
+		rows.push(...page.value);
+		if (page.value.length < maximumScanRows) {
+			return ok(rows);
+		}
+	}
+};
+
+const readBase = async ({platform, keptVersions, versionInForce}: CollectionOptions): Promise<Result<Base | undefined, CollectionError>> => {
+	const [headRow, collectionRow] = await Promise.all([platform.table.read(headKey), platform.table.read(collectionKey)]);
+	const rows = await scanVersions(platform);
+	if (headRow.isErr() || collectionRow.isErr()) {
+		return fail('unavailable', 'the head or the collection row could not be read');
+	}
+
+	if (rows.isErr()) {
+		return err(rows.error);
+	}
+
+	if (headRow.value === undefined) {
+		return versionInForce === 0 ? ok(undefined) : fail('headBehind', `the table has no head, version ${versionInForce} is in force`);
+	}
+
+	const head = parseHead(headRow.value.value);
+	if (head.isErr()) {
+		return fail('unreadable', `row ${headKey}: ${head.error.detail}`);
+	}
+
+	if (head.value.version < versionInForce) {
+		return fail('headBehind', `the table holds version ${head.value.version}, version ${versionInForce} is in force`);
+	}
+
+	const keptRows = rows.value.slice(-Math.max(minimumKeptVersions, keptVersions));
+	const kept = keptRows.map(row => parseHead(row.value));
+	const unreadable = kept.findIndex(record => record.isErr());
+	if (unreadable !== -1) {
+		return fail('unreadable', `row ${keptRows[unreadable]!.key} cannot be read`);
+	}
+
+	return ok({
+		head: head.value,
+		headRevision: headRow.value.revision,
+		generation: Number(collectionRow.value?.value ?? '0'),
+		collectionRevision: collectionRow.value?.revision ?? 0,
+		oldRows: rows.value.slice(0, rows.value.length - keptRows.length),
+		keptHeads: [head.value, ...kept.filter(record => record.isOk()).map(record => record.value)],
+	});
+};
+
+const listReachable = async (platform: Platform, heads: readonly Head[]): Promise<Result<ReadonlySet<string>, CollectionError>> => {
+	const {fetch} = createStoreFetcher(platform);
+	// Versions share most index nodes, so each is fetched once.
+	const fetched = new Map<PartReference, Promise<Result<string, PartError>>>();
+	const fetchOnce = async (reference: PartReference) => {
+		const pending = fetched.get(reference) ?? fetch(reference);
+		fetched.set(reference, pending);
+		return pending;
+	};
+
+	const keys = new Set<string>();
+	for (const {version, manifest} of heads) {
+		// One version at a time keeps the load on the store low.
+		const tree = await listPartTree(manifest, fetchOnce); // eslint-disable-line no-await-in-loop
+		if (tree.isErr()) {
+			const {kind, reference, detail} = tree.error;
+			return fail(kind === 'unavailable' ? 'unavailable' : 'unreadable', `version ${version}, part ${reference}: ${detail}`);
+		}
+
+		for (const reference of tree.value) {
+			keys.add(partKey(reference));
+		}
+	}
+
+	return ok(keys);
+};
+
+const raiseGeneration = async (platform: Platform, base: Base, fence: RowCheck): Promise<Result<void, CollectionError>> => {
+	const result = await platform.table.transact({
+		checks: [fence, {key: headKey, revision: base.headRevision}, {key: collectionKey, revision: base.collectionRevision}],
+		writes: [{key: collectionKey, value: String(base.generation + 1)}],
+	});
+	if (result.isErr()) {
+		return fail('unavailable', result.error.detail);
+	}
+
+	return result.value.kind === 'committed'
+		? ok()
+		: fail('changed', 'a configuration was accepted or the lease was taken meanwhile');
+};
+
+const removeVersions = async (platform: Platform, rows: readonly Row[], fence: RowCheck): Promise<Result<void, CollectionError>> => {
+	for (let start = 0; start < rows.length; start += versionsInTransaction) {
+		const writes = rows.slice(start, start + versionsInTransaction).map(({key}) => ({key, value: undefined}));
+		const result = await platform.table.transact({checks: [fence], writes}); // eslint-disable-line no-await-in-loop
+		if (result.isErr()) {
+			return fail('unavailable', result.error.detail);
+		}
+
+		if (result.value.kind === 'conflict') {
+			return fail('changed', 'the lease was taken meanwhile');
+		}
+	}
+
+	return ok();
+};
+
+const collect = async (options: CollectionOptions): Promise<Result<Collection, CollectionError>> => {
+	const {platform, fence: readFence} = options;
+	const fence = readFence();
+	if (fence === undefined) {
+		return fail('notHolder', 'the lease is not held');
+	}
+
+	const base = await readBase(options);
+	if (base.isErr()) {
+		return err(base.error);
+	}
+
+	if (base.value === undefined) {
+		return ok({removedVersions: 0, removedParts: 0});
+	}
+
+	const reachable = await listReachable(platform, base.value.keptHeads);
+	if (reachable.isErr()) {
+		return err(reachable.error);
+	}
+
+	const listed = await platform.objects.list(partPrefix);
+	if (listed.isErr()) {
+		return fail('unavailable', listed.error.detail);
+	}
+
+	const garbage = listed.value.filter(key => !reachable.value.has(key));
+	const {oldRows} = base.value;
+	if (garbage.length === 0 && oldRows.length === 0) {
+		return ok({removedVersions: 0, removedParts: 0});
+	}
+
+	const raised = await raiseGeneration(platform, base.value, fence);
+	if (raised.isErr()) {
+		return err(raised.error);
+	}
+
+	// Versions go before their parts, so that no record names a part that is gone.
+	const removed = await removeVersions(platform, oldRows, fence);
+	if (removed.isErr()) {
+		return err(removed.error);
+	}
+
+	let removedParts = 0;
+	await forEachBounded(garbage, removalConcurrency, async key => {
+		const result = await platform.objects.remove(key);
+		removedParts += result.isOk() ? 1 : 0;
+		return result.isOk();
+	});
+	return removedParts === garbage.length
+		? ok({removedVersions: oldRows.length, removedParts})
+		: fail('unavailable', `${removedParts} of ${garbage.length} parts were removed`);
+};
+
+/**
+ * Removes old versions and parts once.
+ *
+ * @param options - Platform, number of versions to keep, and the fence of the lease.
+ * @returns What was removed, or why the collection did not finish; the next one goes on from there.
+ */
+export const collectGarbage = async (options: CollectionOptions): Promise<Result<Collection, CollectionError>> => {
+	const result = await collect(options);
+	if (result.isErr()) {
+		options.log(configurationEvents.collectionFailed, {kind: result.error.kind, detail: result.error.detail});
+	} else if (result.value.removedVersions + result.value.removedParts > 0) {
+		options.log(configurationEvents.partsCollected, {...result.value});
+	}
+
+	return result;
+};
