--- /dev/null
+++ b/packages/configuration/src/__tests__/splitIntent.test.ts
@@ -0,0 +1,103 @@
+import type {Intent} from '@filbertwell/types/intent';
+import {contentHash} from '@filbertwell/utils/hash';
+import fc from 'fast-check';
+import {errAsync, ok} from 'neverthrow';
+import {expect, test} from 'vitest';
+import {assembleConfiguration} from '../assembleConfiguration.js';
+import {chunkList} from '../chunkList.js';
+import {createPartFetcher} from '../fetchParts.js';
+import {parseHead} from '../head.js';
+import {
+	parseBlocks, parseManifest, parseObject, parseReferences,
+} from '../partForms.js';
+import {hashOfReference, type PartReference} from '../partReference.js';
+import {splitIntent} from '../splitIntent.js';
+import {sampleBlocks, sampleIntent} from './sampleIntent.js';
+
+const sizes = {minimum: 4, typical: 8, maximum: 32};
+
+test('chunks hold all items in order and keep to their sizes', () => {
+	fc.assert(fc.property(fc.array(fc.string(), {maxLength: 300}), items => {
+		const chunks = chunkList(items, item => item, sizes);
+		expect(chunks.flat()).toEqual(items);
+		expect(chunks.every(chunk => chunk.length > 0 && chunk.length <= sizes.maximum)).toBe(true);
+		expect(chunks.slice(0, -1).every(chunk => chunk.length >= sizes.minimum)).toBe(true);
+	}), {seed: 1, numRuns: 200});
+});
+
+test('one item more leaves most chunks as they were', () => {
+	const items = Array.from({length: 5000}, (_, index) => `item ${index}`);
+	const before = new Set(chunkList(items, item => item, sizes).map(chunk => chunk.join(',')));
+	const after = chunkList(items.toSpliced(2000, 0, 'new'), item => item, sizes).map(chunk => chunk.join(','));
+	expect(after.filter(chunk => !before.has(chunk)).length).toBeLessThan(10);
+});
+
+const assemble = async (manifest: PartReference, contents: ReadonlyMap<PartReference, string>) => assembleConfiguration({
+	head: {
+		version: 1, changeId: 'c', author: '', acceptedAt: '', manifest,
+	},
+	async fetch(reference) {
+		return ok(contents.get(reference)!);
+	},
+	previous: undefined,
+	async pace() {
+		await Promise.resolve();
+	},
+});
+
+const blockLists = fc.array(fc.record({prefix: fc.string(), preference: fc.string()}), {maxLength: 400});
+
+test('an intent that was split is assembled as it was', async () => {
+	await fc.assert(fc.asyncProperty(blockLists, fc.nat(4), async (clientBlocks, serviceCount) => {
+		const services = Array.from({length: serviceCount}, (_, index) => ({...sampleIntent.services[0]!, name: `service ${index}`}));
+		const intent: Intent = {...sampleIntent, services, clientBlocks};
+		const {manifest, newParts} = splitIntent(intent, 3, new Map());
+		const contents = new Map(newParts.map(part => [part.reference, part.content]));
+		const assembled = await assemble(manifest, contents);
+		expect(assembled._unsafeUnwrap().configuration.intent).toEqual(intent);
+		expect(newParts.every(part => hashOfReference(part.reference) === contentHash(part.content))).toBe(true);
+	}), {seed: 2, numRuns: 60});
+});
+
+test('known parts keep their references and are not written again', () => {
+	const intent = {...sampleIntent, clientBlocks: sampleBlocks(2000)};
+	const first = splitIntent(intent, 1, new Map());
+	const known = new Map(first.newParts.map(part => [hashOfReference(part.reference), part.reference]));
+	const second = splitIntent(intent, 9, known);
+	expect(second).toEqual({manifest: first.manifest, newParts: []});
+	const third = splitIntent({...intent, deployment: 'other'}, 9, known);
+	expect(third.newParts).toHaveLength(2);
+	expect(third.newParts.every(part => part.reference.startsWith('9/'))).toBe(true);
+});
+
+test('any text is either read or malformed, never an exception', () => {
+	const texts = fc.oneof(fc.string(), fc.json(), fc.json().map(text => text.slice(0, -1)));
+	fc.assert(fc.property(texts, text => {
+		for (const parse of [parseHead, parseManifest, parseReferences, parseObject]) {
+			const parsed = parse(text);
+			expect(parsed.isOk() || parsed.error.kind === 'malformed').toBe(true);
+		}
+
+		const blocks = parseBlocks(text, name => name);
+		expect(blocks.isOk() || blocks.error.kind === 'malformed').toBe(true);
+	}), {seed: 4, numRuns: 500});
+});
+
+test('a source that fails repeatedly is left out for the rest of a configuration', async () => {
+	let calls = 0;
+	const failing = {
+		origin: 'peer' as const,
+		fetch() {
+			calls += 1;
+			return errAsync({detail: 'no answer'});
+		},
+	};
+	const fetcher = createPartFetcher([failing], () => undefined);
+	const references = Array.from({length: 10}, (_, index) => `0/${String(index).repeat(64)}`);
+	for (const reference of references) {
+		const part = await fetcher.fetch(reference); // eslint-disable-line no-await-in-loop
+		expect(part._unsafeUnwrapErr().kind).toBe('unavailable');
+	}
+
+	expect(calls).toBe(3);
+});
