Add peer channel, membership and look-ups, thin

Peers exchange heartbeats over UDP and JSON-RPC over HTTP on one port number. Membership joins heartbeats with the platform's instance list.

The type Membership gains listed and superseded.

--- /dev/null
+++ b/packages/membership/src/heartbeatExchange.ts
@@ -0,0 +1,285 @@
+/**
+ * Heartbeats to and from peers: one probe a round to the next peer of a random pass, changes to
+ * several peers at once, and a sample of what is known in each message.
+ */
+import {fitHeartbeat} from '@filbertwell/peer-protocol/datagram';
+import type {Heartbeat, HeartbeatKind} from '@filbertwell/peer-protocol/heartbeat';
+import type {MemberBeat, MemberRecord} from '@filbertwell/peer-protocol/memberRecord';
+import type {ReceivedHeartbeat} from '@filbertwell/peer-protocol/peerChannel';
+import type {Member} from '@filbertwell/types/member';
+import type {SocketAddress} from '@filbertwell/types/place';
+import type {Clock} from '@filbertwell/utils/clock';
+import type {Random} from '@filbertwell/utils/random';
+import {createTokenBucket} from '@filbertwell/utils/tokenBucket';
+import {createDoubts} from './doubts.js';
+import type {Learned, MemberTable} from './memberTable.js';
+import {createNewsQueue} from './newsQueue.js';
+import {toBeat, toRecord} from './records.js';
+import type {SelfAnnouncement} from './selfAnnouncement.js';
+import {createTargetRing} from './targetRing.js';
+
+/** Heartbeats of this process. */
+export type HeartbeatExchange = {
+	/** Ends the last round, suspects the silent, and probes the next peers. */
+	readonly round: (contacts: readonly SocketAddress[]) => void;
+	readonly receive: (received: ReceivedHeartbeat) => void;
+	/** Tells peers of a change of this process at once. */
+	readonly announce: () => void;
+	/** Takes in a record that came another way. */
+	readonly learn: (record: MemberRecord) => Learned;
+	readonly forget: (id: string) => void;
+	/** Rounds since any peer was heard. */
+	readonly roundsUnheard: () => number;
+};
+
+/** Parameters of the exchange. */
+export type HeartbeatExchangeOptions = {
+	readonly self: SelfAnnouncement;
+	readonly table: MemberTable;
+	readonly send: (to: SocketAddress, heartbeat: Heartbeat) => void;
+	readonly clock: Clock;
+	readonly random: Random;
+	/** Called with ids of which no record is at hand, and the peer that named them. */
+	readonly onUnknown: (ids: readonly string[], from: SocketAddress) => void;
+	/** Called with a peer that answered a probe. */
+	readonly onAnswer: (from: SocketAddress) => void;
+	readonly onLearned: (id: string, learned: Learned) => void;
+	/** Called once a later process has this id. */
+	readonly onSuperseded: (by: MemberBeat) => void;
+};
+
+const sampledBeats = 1;
+const newsPerMessage = 4;
+const reprobesPerRound = 3;
+const ownNewsTargets = 8;
+const relayTargets = 4;
+const silentAfterProbes = 3;
+const silentAfterProbesUnheard = 10;
+const newsMessagesPerSecond = 8;
+const newsMessagesBurst = 64;
+const unheardInMessage = 3;
+
+/** Messages that a change goes into after its first spread: enough to reach the last members. */
+const messagesPerChange = (members: number): number => Math.ceil(Math.log2(members + 2)) + 2;
+
+/**
+ * Creates the exchange.
+ *
+ * @param options - Own announcement, table and the way to send.
+ * @returns The exchange; nothing is sent before the first round.
+ */
+export const createHeartbeatExchange = (options: HeartbeatExchangeOptions): HeartbeatExchange => {
+	const {self, table, send, clock, random} = options;
+	const doubts = createDoubts();
+	const news = createNewsQueue();
+	const ring = createTargetRing(random);
+	const newsBudget = createTokenBucket(clock, {tokensPerSecond: newsMessagesPerSecond, burst: newsMessagesBurst});
+	const joinedNews = new Set<string>();
+	const introduced = new Set<string>();
+	let introducedIncarnation = self.member().incarnation;
+	let roundsUnheard = 0;
+	let sampleAt = 0;
+	let superseded = false;
+
+	const isIntroduced = (id: string | undefined): boolean => {
+		if (introducedIncarnation !== self.member().incarnation) {
+			introduced.clear();
+			introducedIncarnation = self.member().incarnation;
+		}
+
+		return id !== undefined && introduced.has(id);
+	};
+
+	const sampleBeats = (without: string | undefined): MemberBeat[] => {
+		const ids = [...table.known().keys()];
+		const beats: MemberBeat[] = [];
+		for (let step = 0; step < Math.min(sampledBeats, ids.length); step++) {
+			sampleAt = (sampleAt + 1) % ids.length;
+			const id = ids[sampleAt]!;
+			if (id !== without) {
+				beats.push(toBeat(table.get(id)!));
+			}
+		}
+
+		return beats;
+	};
+
+	const beatsOf = (ids: readonly string[]): MemberBeat[] => ids.flatMap(id => {
+		const known = table.get(id);
+		return known === undefined ? [] : [toBeat(known)];
+	});
+
+	const newsItems = () => {
+		const ids = news.take(newsPerMessage);
+		const records = ids
+			.filter(id => joinedNews.has(id))
+			.flatMap(id => {
+				const known = table.get(id);
+				return known === undefined ? [] : [toRecord(known.member, known.sequence)];
+			})
+			.slice(0, 2);
+		return {records, beats: beatsOf(ids.filter(id => !joinedNews.has(id)))};
+	};
+
+	const compose = (kind: HeartbeatKind, to: string | undefined, asked: readonly string[]): Heartbeat => {
+		const items = newsItems();
+		const records = isIntroduced(to) ? items.records : [self.record(), ...items.records].slice(0, 2);
+		const beats = [...beatsOf(asked), ...items.beats, ...(kind === 'news' ? [] : sampleBeats(to))];
+		const unheard = doubts.doubted().filter(id => id !== to).slice(0, unheardInMessage);
+		return fitHeartbeat({
+			kind,
+			sender: self.beat(),
+			...(records.length > 0 && {records}),
+			...(beats.length > 0 && {beats}),
+			...(unheard.length > 0 && {unheard}),
+		});
+	};
+
+	const probe = (id: string) => {
+		const known = table.get(id);
+		if (known !== undefined) {
+			doubts.probed(id);
+			send(known.member.peerAddress, compose('probe', id, []));
+		}
+	};
+
+	const spread = (targets: number) => {
+		for (const id of ring.sample(table.known(), targets)) {
+			const known = table.get(id);
+			if (known !== undefined && newsBudget.tryTake(1)) {
+				send(known.member.peerAddress, compose('news', id, []));
+			}
+		}
+	};
+
+	const passOn = (id: string, learned: Learned) => {
+		if (learned === 'joined') {
+			joinedNews.add(id);
+		} else {
+			joinedNews.delete(id);
+		}
+
+		news.add(id, messagesPerChange(table.known().size) + relayTargets);
+	};
+
+	const hearOfSelf = (beat: MemberBeat) => {
+		const reaction = self.hear(beat);
+		if (reaction === 'refute') {
+			spread(ownNewsTargets);
+		} else if (reaction === 'yield' && !superseded) {
+			superseded = true;
+			options.onSuperseded(beat);
+		}
+	};
+
+	/** Takes in one statement; returns what it brought. */
+	const learn = (statement: MemberBeat | MemberRecord): Learned => {
+		if (statement.id === self.member().id) {
+			hearOfSelf(statement);
+			return 'stale';
+		}
+
+		const known = table.get(statement.id);
+		const learned = table.learn(statement);
+		const isOldSuspicion = learned === 'stale' && statement.health === 'suspect' && known?.member.health === 'alive';
+		if (isOldSuspicion) {
+			doubts.raise(statement.id);
+		}
+
+		if (learned === 'refreshed' || learned === 'changed') {
+			doubts.heardByOthers(statement.id);
+		}
+
+		if (learned === 'changed' || learned === 'joined') {
+			passOn(statement.id, learned);
+		}
+
+		if (learned !== 'stale' && learned !== 'unknown') {
+			options.onLearned(statement.id, learned);
+		}
+
+		return learned;
+	};
+
+	const learnAll = (heartbeat: Heartbeat, from: SocketAddress) => {
+		const statements = [...(heartbeat.records ?? []), heartbeat.sender, ...(heartbeat.beats ?? [])];
+		const outcomes = statements.map(statement => ({id: statement.id, learned: learn(statement)}));
+		const unknown = outcomes.filter(({learned}) => learned === 'unknown').map(({id}) => id);
+		if (unknown.length > 0) {
+			options.onUnknown(unknown, from);
+		}
+
+		if (outcomes.some(({learned}) => learned === 'changed' || learned === 'joined')) {
+			spread(relayTargets);
+		}
+	};
+
+	const replyTo = (heartbeat: Heartbeat, from: SocketAddress) => {
+		const {id} = heartbeat.sender;
+		const known = table.get(id);
+		const isOlderThanKnown = known !== undefined && known.member.incarnation > heartbeat.sender.incarnation;
+		const asked = (heartbeat.unheard ?? []).slice(0, unheardInMessage);
+		send(from, compose('reply', id, isOlderThanKnown ? [id, ...asked] : asked));
+		for (const unheard of asked) {
+			if (table.get(unheard)?.member.health === 'alive') {
+				doubts.raise(unheard);
+			}
+		}
+	};
+
+	return {
+		round(contacts) {
+			self.advance();
+			roundsUnheard += 1;
+			const limit = roundsUnheard > silentAfterProbes ? silentAfterProbesUnheard : silentAfterProbes;
+			for (const id of doubts.endRound(limit)) {
+				if (table.suspect(id)) {
+					passOn(id, 'changed');
+					options.onLearned(id, 'changed');
+					spread(relayTargets);
+				}
+			}
+
+			const next = ring.next(table.known());
+			const targets = new Set([...doubts.doubted().slice(0, reprobesPerRound), ...(next === undefined ? [] : [next])]);
+			for (const id of targets) {
+				probe(id);
+			}
+
+			for (const address of contacts) {
+				send(address, compose('probe', undefined, []));
+			}
+		},
+		receive({from, heartbeat}) {
+			const {id} = heartbeat.sender;
+			if (id === self.member().id) {
+				hearOfSelf(heartbeat.sender);
+				return;
+			}
+
+			roundsUnheard = 0;
+			learnAll(heartbeat, from);
+			const known = table.get(id);
+			if (known?.member.incarnation === heartbeat.sender.incarnation) {
+				doubts.heard(id);
+			}
+
+			if (heartbeat.kind === 'reply') {
+				introduced.add(id);
+				options.onAnswer(from);
+			} else if (heartbeat.kind === 'probe') {
+				replyTo(heartbeat, from);
+			}
+		},
+		announce() {
+			spread(ownNewsTargets);
+		},
+		learn,
+		forget(id) {
+			doubts.forget(id);
+			introduced.delete(id);
+			joinedNews.delete(id);
+		},
+		roundsUnheard: () => roundsUnheard,
+	};
+};
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,6 +1,7 @@
 /**
  * The members of the system as this process sees them.
  */
+import type {ListedInstance} from '@filbertwell/platform/instanceList';
 import type {LoadSummary, Member, MemberState} from '@filbertwell/types/member';
 import type {Observable} from 'rxjs';
 
@@ -10,8 +11,12 @@
 	readonly self: () => Member;
 	/** All members that are not known to be gone, this process included, ordered by id. */
 	readonly members: () => readonly Member[];
-	/** Emits the members after each change. */
+	/** Emits the members after each change; a change of load alone is none. */
 	readonly changes: Observable<readonly Member[]>;
+	/** The platform's list, upstreams included, after each reading that succeeds. */
+	readonly listed: Observable<readonly ListedInstance[]>;
+	/** Emits once, the newer process, when another one was started under this id; heartbeats have then stopped. */
+	readonly superseded: Observable<Member>;
 	readonly announceState: (state: MemberState) => void;
 	readonly announceConfiguration: (version: number) => void;
 	readonly announceLoad: (load: LoadSummary) => void;
--- /dev/null
+++ b/packages/peer-protocol/src/memberRecord.ts
@@ -0,0 +1,56 @@
+/**
+ * What members say of themselves and of each other.
+ */
+import {z} from 'zod';
+
+const maximumNameLength = 64;
+const maximumPort = 65_535;
+const maximumHostLength = 45;
+
+const name = z.string().min(1).max(maximumNameLength);
+const count = z.number().int().nonnegative();
+
+/** Schema of a listener's address. */
+export const socketAddressSchema = z.object({
+	host: z.string().min(1).max(maximumHostLength),
+	port: z.number().int().min(1).max(maximumPort),
+}).readonly();
+
+const loadSummarySchema = z.object({
+	inFlight: count,
+	queued: count,
+	requestsPerSecond: z.number().nonnegative(),
+}).readonly();
+
+const beatShape = {
+	id: name,
+	incarnation: count,
+	sequence: count,
+	state: z.enum(['starting', 'serving', 'leaving']),
+	health: z.enum(['alive', 'suspect']),
+	configurationVersion: count,
+};
+
+/** Schema of a beat. */
+export const memberBeatSchema = z.object({...beatShape, load: loadSummarySchema.optional()}).readonly();
+
+/** Schema of a full record. */
+export const memberRecordSchema = z.object({
+	...beatShape,
+	load: loadSummarySchema.optional(),
+	role: z.enum(['entry', 'lookup']),
+	region: name,
+	availabilityZone: name,
+	site: name,
+	callerAddress: socketAddressSchema,
+	peerAddress: socketAddressSchema,
+}).readonly();
+
+/**
+ * The part of a member that changes while it runs. Of two beats for one id, the one with the
+ * higher incarnation, then the higher sequence, is newer; at equal numbers `suspect` is newer.
+ */
+export type MemberBeat = z.infer<typeof memberBeatSchema>;
+
+/** A beat with all that a peer needs to reach the member. */
+export type MemberRecord = z.infer<typeof memberRecordSchema>;
--- /dev/null
+++ b/packages/peer-protocol/src/rpcServer.ts
@@ -0,0 +1,93 @@
+/**
+ * Answers peers' JSON-RPC requests over HTTP.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
+import {z} from 'zod';
+import {readBody} from './httpBody.js';
+import {
+	methodSchemas, type MethodHandler, type MethodName,
+} from './methods.js';
+import {describeThrown} from './peerError.js';
+import type {TrafficCounter} from './traffic.js';
+
+/** Path of the JSON-RPC endpoint. */
+export const rpcPath = '/rpc';
+
+const maximumRequestBytes = 65_536;
+const requestTimeoutMs = 5000;
+const maximumConnections = 256;
+
+/**
+ * Makes a dispatcher answer one method, in place of an earlier handler.
+ *
+ * @param server - The dispatcher.
+ * @param name - Method.
+ * @param handler - Its answer; the parameters are checked before it runs.
+ */
+export const addHandler = <Name extends MethodName>(server: JSONRPCServer, name: Name, handler: MethodHandler<Name>) => {
+	server.addMethod(name, async (parameters: unknown) => {
+		const parsed = methodSchemas[name].params.safeParse(parameters);
+		if (!parsed.success) {
+			throw new JSONRPCErrorException(`${name}: ${z.prettifyError(parsed.error)}`, JSONRPCErrorCode.InvalidParams);
+		}
+
+		return handler(parsed.data as Parameters<typeof handler>[0]);
+	});
+};
+
+/**
+ * Creates a dispatcher of JSON-RPC requests that answers no method yet.
+ *
+ * @returns The dispatcher.
+ */
+export const createDispatcher = (): JSONRPCServer => new JSONRPCServer({errorListener: () => undefined});
+
+const send = (response: ServerResponse, status: number, body: string, traffic: TrafficCounter) => {
+	const content = Buffer.from(body);
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': content.length});
+	response.end(content);
+	traffic.countRpcOut(content.length);
+};
+
+/**
+ * Creates an HTTP server; the caller makes it listen.
+ *
+ * @param dispatcher - Answers the methods.
+ * @param traffic - Counts the bytes of requests and answers.
+ * @returns The server.
+ */
+export const createRpcServer = (dispatcher: JSONRPCServer, traffic: TrafficCounter): Server => {
+	const answer = async (request: IncomingMessage, response: ServerResponse) => {
+		if (request.method !== 'POST' || request.url !== rpcPath) {
+			send(response, 404, `{"error":"use POST ${rpcPath}"}`, traffic);
+			return;
+		}
+
+		const body = await readBody(request, maximumRequestBytes);
+		if (body.isErr()) {
+			response.shouldKeepAlive = false;
+			send(response, 413, JSON.stringify({error: body.error.detail}), traffic);
+			return;
+		}
+
+		traffic.countRpcIn(Buffer.byteLength(body.value));
+		const answered = await dispatcher.receiveJSON(body.value);
+		send(response, 200, JSON.stringify(answered), traffic);
+	};
+
+	const server = createServer(async (request, response) => {
+		try {
+			await answer(request, response);
+		} catch (error) {
+			response.destroy(error instanceof Error ? error : new Error(describeThrown(error)));
+		}
+	});
+	server.requestTimeout = requestTimeoutMs;
+	server.headersTimeout = requestTimeoutMs;
+	server.maxConnections = maximumConnections;
+	return server;
+};
--- /dev/null
+++ b/packages/steering/src/blockTableRanges.ts
@@ -0,0 +1,207 @@
+/**
+ * Prefixes of one address family as disjoint ranges in typed arrays.
+ */
+
+/** Sorted ranges; each reaches to the start of the next, and names the longest prefix that covers it. */
+export type PrefixRanges = {
+	/** The index of the longest prefix that holds the address, or -1. */
+	readonly locate: (address: readonly number[]) => number;
+	readonly bytes: number;
+};
+
+/** Prefixes before they are flattened. */
+export type PrefixList = {
+	/** Words of an address: 1 or 4. */
+	readonly width: number;
+	readonly count: number;
+	/** `width` words for each prefix. */
+	readonly networks: Uint32Array;
+	readonly lengths: Uint8Array;
+};
+
+const bitsPerWord = 32;
+const itemsPerStep = 256;
+const noPrefix = -1;
+
+type Compare = (a: number, b: number) => number;
+
+const createCompare = ({width, networks, lengths}: PrefixList): Compare => (a, b) => {
+	for (let word = 0; word < width; word++) {
+		const difference = networks[(a * width) + word]! - networks[(b * width) + word]!;
+		if (difference !== 0) {
+			return difference;
+		}
+	}
+
+	return (lengths[a]! - lengths[b]!) || (a - b);
+};
+
+/** Merges two sorted runs; yields after each few items so that the caller may pause. */
+const mergeRuns = function * (from: Uint32Array, to: Uint32Array, bounds: readonly [number, number, number], compare: Compare): Generator<void, void> {
+	const [start, middle, end] = bounds;
+	let left = start;
+	let right = middle;
+	for (let at = start; at < end; at++) {
+		const takeLeft = left < middle && (right >= end || compare(from[left]!, from[right]!) <= 0);
+		to[at] = takeLeft ? from[left++]! : from[right++]!;
+		if (at % itemsPerStep === 0) {
+			yield;
+		}
+	}
+};
+
+/** Sorts the indices of prefixes by network, shorter first. */
+const sortedOrder = function * (list: PrefixList): Generator<void, Uint32Array> {
+	const compare = createCompare(list);
+	let from = Uint32Array.from({length: list.count}, (_, index) => index);
+	let to = new Uint32Array(list.count);
+	for (let run = 1; run < list.count; run *= 2) {
+		for (let start = 0; start < list.count; start += 2 * run) {
+			const middle = Math.min(start + run, list.count);
+			const end = Math.min(start + (2 * run), list.count);
+			yield * mergeRuns(from, to, [start, middle, end], compare);
+		}
+
+		[from, to] = [to, from];
+	}
+
+	return from;
+};
+
+/** Writes the address after the last one of a prefix; returns whether there is one. */
+const writeSuccessor = (list: PrefixList, index: number, successor: Uint32Array): boolean => {
+	const {width, networks, lengths} = list;
+	const length = lengths[index]!;
+	let carry = length > 0;
+	for (let word = width - 1; word >= 0; word--) {
+		const value = networks[(index * width) + word]!;
+		const hostBits = Math.min(Math.max(((word + 1) * bitsPerWord) - length, 0), bitsPerWord);
+		const isAllHost = hostBits === bitsPerWord;
+		const next = isAllHost ? value : value + (carry ? 2 ** hostBits : 0);
+		successor[word] = next;
+		carry &&= isAllHost || next > 0xFF_FF_FF_FF;
+	}
+
+	return length > 0 && !carry;
+};
+
+const compareWords = (a: Uint32Array, aAt: number, b: ArrayLike<number>, bAt: number, width: number): number => { // eslint-disable-line max-params -- hot path without allocation
+	for (let word = 0; word < width; word++) {
+		const difference = a[aAt + word]! - b[bAt + word]!;
+		if (difference !== 0) {
+			return difference;
+		}
+	}
+
+	return 0;
+};
+
+type RangeWriter = {
+	readonly write: (source: Uint32Array, at: number, prefix: number) => void;
+	readonly finish: () => {readonly starts: Uint32Array; readonly prefixes: Int32Array};
+};
+
+const createRangeWriter = ({width, count}: PrefixList): RangeWriter => {
+	const starts = new Uint32Array(((2 * count) + 1) * width);
+	const prefixes = new Int32Array((2 * count) + 1);
+	let written = 0;
+	return {
+		write(source, at, prefix) {
+			const replacesLast = written > 0 && compareWords(starts, (written - 1) * width, source, at, width) === 0;
+			if (replacesLast) {
+				written -= 1;
+			}
+
+			if (written > 0 && prefixes[written - 1] === prefix) {
+				return;
+			}
+
+			for (let word = 0; word < width; word++) {
+				starts[(written * width) + word] = source[at + word]!;
+			}
+
+			prefixes[written] = prefix;
+			written += 1;
+		},
+		finish: () => ({starts: starts.slice(0, written * width), prefixes: prefixes.slice(0, written)}),
+	};
+};
+
+/** Walks the prefixes in order with the stack of those that enclose the current one. */
+const flatten = function * (list: PrefixList, order: Uint32Array): Generator<void, ReturnType<RangeWriter['finish']>> {
+	const {width, networks} = list;
+	const writer = createRangeWriter(list);
+	const enclosing: number[] = [];
+	const successor = new Uint32Array(width);
+
+	/** Ends the innermost prefix if it ends at or before the address. */
+	const endInnermost = (before: number | undefined): boolean => {
+		const innermost = enclosing.at(-1);
+		if (innermost === undefined) {
+			return false;
+		}
+
+		const hasSuccessor = writeSuccessor(list, innermost, successor);
+		const goesOn = before !== undefined && (!hasSuccessor || compareWords(successor, 0, networks, before * width, width) > 0);
+		if (goesOn) {
+			return false;
+		}
+
+		enclosing.pop();
+		if (hasSuccessor) {
+			writer.write(successor, 0, enclosing.at(-1) ?? noPrefix);
+		}
+
+		return true;
+	};
+
+	const endAll = (before: number | undefined) => {
+		let ended = true;
+		while (ended) {
+			ended = endInnermost(before);
+		}
+	};
+
+	for (const [at, element] of order.entries()) {
+		const index = element;
+		endAll(index);
+		writer.write(networks, index * width, index);
+		enclosing.push(index);
+		if (at % itemsPerStep === 0) {
+			yield;
+		}
+	}
+
+	endAll(undefined);
+	return writer.finish();
+};
+
+/**
+ * Builds the ranges in small steps.
+ *
+ * @param list - Prefixes in any order; of equal ones the last wins.
+ * @returns A generator that yields between steps and returns the ranges.
+ */
+export const buildRanges = function * (list: PrefixList): Generator<void, PrefixRanges> {
+	const {width} = list;
+	const order = yield * sortedOrder(list);
+	const {starts, prefixes} = yield * flatten(list, order);
+
+	return {
+		bytes: starts.byteLength + prefixes.byteLength,
+		locate(address) {
+			let low = 0;
+			let high = prefixes.length;
+			while (low < high) {
+				const middle = (low + high) >>> 1; // eslint-disable-line no-bitwise -- integer half
+				if (compareWords(starts, middle * width, address, 0, width) <= 0) {
+					low = middle + 1;
+				} else {
+					high = middle;
+				}
+			}
+
+			return low === 0 ? noPrefix : prefixes[low - 1]!;
+		},
+	};
+};
