--- /dev/null
+++ b/packages/cli/src/changeOptions.ts
@@ -0,0 +1,34 @@
+/**
+ * Options that all commands share that change the configuration.
+ */
+import type {Argv} from 'yargs';
+import type {GlobalOptions} from './commandContext.js';
+import type {ChangeOptions} from './submitChange.js';
+
+const defaultTimeoutSeconds = 30;
+
+/**
+ * Declares the options of a command that changes the configuration.
+ *
+ * @param command - The command.
+ * @returns The command with the options.
+ */
+export const withChangeOptions = (command: Argv<GlobalOptions>): Argv<GlobalOptions & ChangeOptions> => command
+	.option('wait', {type: 'boolean', default: false, describe: 'Return once every live instance has the change in force'})
+	.option('timeout', {
+		type: 'number', default: defaultTimeoutSeconds, describe: 'Longest wait in seconds', requiresArg: true,
+	})
+	.option('expect', {type: 'number', describe: 'Version that the change was made from; refused as a conflict where another is accepted', requiresArg: true})
+	.option('change-id', {type: 'string', describe: 'Token of the change; a run with the same token never applies it twice', requiresArg: true})
+	.option('dry-run', {type: 'boolean', default: false, describe: 'Check and show the changes, change nothing'})
+	.check(({timeout, expect}) => {
+		if (!(timeout >= 0)) {
+			throw new Error(`--timeout ${String(timeout)} is not a time; use a number of seconds of 0 or more`);
+		}
+
+		if (expect !== undefined && !(Number.isSafeInteger(expect) && expect >= 0)) {
+			throw new Error(`--expect ${String(expect)} is not a version; use an integer of 0 or more`);
+		}
+
+		return true;
+	}) as unknown as Argv<GlobalOptions & ChangeOptions>;
--- /dev/null
+++ b/packages/cli/src/commands/checkCommand.ts
@@ -0,0 +1,48 @@
+/**
+ * `filbertwell check`: checks an intent without the platform.
+ */
+import {err, ok} from 'neverthrow';
+import type {CommandModule} from 'yargs';
+import type {GlobalOptions} from '../commandContext.js';
+import type {CommandOutcome} from '../commandFailure.js';
+import {readIntentFile} from '../readIntentFile.js';
+import {runLocalCommand} from '../runCommand.js';
+
+type Options = GlobalOptions & {readonly intent: string};
+
+const check = async (path: string): Promise<CommandOutcome> => {
+	const intent = await readIntentFile(path);
+	if (intent.isErr()) {
+		return err(intent.error);
+	}
+
+	const {deployment, regions, services, clientBlocks} = intent.value;
+	const counts = {
+		deployment,
+		regions: regions.length,
+		availabilityZones: regions.flatMap(region => region.availabilityZones).length,
+		services: services.length,
+		endpoints: services.flatMap(service => service.endpoints).length,
+		clientBlocks: clientBlocks.length,
+	};
+	return ok({
+		text: [
+			`${deployment}: no problems`,
+			`regions ${counts.regions}, availability zones ${counts.availabilityZones}, services ${counts.services}, endpoints ${counts.endpoints}, client blocks ${counts.clientBlocks}`,
+		].join('\n'),
+		data: counts,
+	});
+};
+
+/** The command `check`. */
+export const checkCommand: CommandModule<GlobalOptions, Options> = {
+	command: 'check <intent>',
+	describe: 'Check an intent file; asks neither the platform nor entries',
+	builder: command => command
+		.positional('intent', {type: 'string', demandOption: true, describe: 'JSON file, or - for standard input'})
+		.example('$0 check intent.json', 'Check a file')
+		.example('node examples/rodalar/lib/rodalar.js | $0 check -', 'Check what a program prints'),
+	async handler(options) {
+		await runLocalCommand(options, async () => check(options.intent));
+	},
+};
--- /dev/null
+++ b/packages/cli/src/commands/rollbackCommand.ts
@@ -0,0 +1,46 @@
+/**
+ * `filbertwell rollback`: accepts the intent of an earlier version as a new version.
+ */
+import {err} from 'neverthrow';
+import type {CommandModule} from 'yargs';
+import {withChangeOptions} from '../changeOptions.js';
+import type {CommandContext, GlobalOptions} from '../commandContext.js';
+import type {CommandOutcome} from '../commandFailure.js';
+import {requireAccepted} from '../readAccepted.js';
+import {runCommand} from '../runCommand.js';
+import {submitChange, type ChangeOptions} from '../submitChange.js';
+
+type Options = GlobalOptions & ChangeOptions & {
+	readonly version: number;
+};
+
+const rollback = async (context: CommandContext, options: Options): Promise<CommandOutcome> => {
+	const [base, earlier] = await Promise.all([requireAccepted(context), requireAccepted(context, options.version)]);
+	if (base.isErr()) {
+		return err(base.error);
+	}
+
+	return earlier.isOk()
+		? submitChange(context, {base: base.value, intent: earlier.value.intent, options})
+		: err(earlier.error);
+};
+
+/** The command `rollback`. */
+export const rollbackCommand: CommandModule<GlobalOptions, Options> = {
+	command: 'rollback <version>',
+	describe: 'Accept the intent of an earlier version as a new version',
+	builder: command => withChangeOptions(command)
+		.positional('version', {type: 'number', demandOption: true, describe: 'Version to return to'})
+		.check(({version}) => {
+			if (!(Number.isSafeInteger(version) && version >= 1)) {
+				throw new Error(`version ${version} is not a version; use an integer of 1 or more, as filbertwell history lists them`);
+			}
+
+			return true;
+		})
+		.example('$0 rollback 7 --dry-run', 'Show what a return to version 7 would change')
+		.example('$0 rollback 7 --wait', 'Return to it and wait until it is in force'),
+	async handler(options) {
+		await runCommand(options, async context => rollback(context, options));
+	},
+};
--- a/packages/intent/src/checks/checkServices.ts
+++ b/packages/intent/src/checks/checkServices.ts
@@ -20,7 +20,12 @@
 	const problems: IntentProblem[] = [];
 	const coveredBy = service.routes.slice(0, index).find(earlier => covers(earlier, route));
 	if (coveredBy !== undefined) {
-		problems.push(problemAt(`${path}[${index}]`, route.name, `overlaps with route "${coveredBy.name}" before it, which takes all of its requests`, 'move it before that route or narrow that route'));
+		problems.push(problemAt(
+			`${path}[${index}]`,
+			route.name,
+			`overlaps with route "${coveredBy.name}" before it, which takes all of its requests`,
+			'move it before that route or narrow that route',
+		));
 	}
 
 	if (route.kind === 'atMostOnce' && route.hedge) {
--- a/packages/intent/src/checks/checkShares.ts
+++ b/packages/intent/src/checks/checkShares.ts
@@ -16,8 +16,9 @@
 const checkService = (intent: Intent, service: Service, path: string): IntentProblem[] => {
 	const capacity = serviceCapacity(intent, service);
 	const left = capacity.filter(({slotsAfterDrains}) => slotsAfterDrains > 0);
+	const drained = intent.drains.map(drain => drain.name);
 	if (left.length === 0) {
-		return [problemAt('drains', intent.drains.map(drain => drain.name), `the drains leave service "${service.name}" without any endpoint`, 'remove one of the drains or add endpoints elsewhere')];
+		return [problemAt('drains', drained, `the drains leave service "${service.name}" without any endpoint`, 'remove one of the drains or add endpoints elsewhere')];
 	}
 
 	const allowed = capacity.filter(({slots}) => slots > 0).reduce((sum, {maximumShare}) => sum + maximumShare, 0);
@@ -26,9 +27,16 @@
 	}
 
 	const allowedAfterDrains = left.reduce((sum, {maximumShare}) => sum + maximumShare, 0);
-	return allowedAfterDrains < 1 - shareTolerance
-		? [problemAt('drains', intent.drains.map(drain => drain.name), `the regions that the drains leave to service "${service.name}" may take only ${round(allowedAfterDrains)} of its traffic together`, `raise maximumShare of ${left.map(({region}) => region).join(', ')} in regionShares, or remove one of the drains`)]
-		: [];
+	if (allowedAfterDrains >= 1 - shareTolerance) {
+		return [];
+	}
+
+	return [problemAt(
+		'drains',
+		drained,
+		`the regions that the drains leave to service "${service.name}" may take only ${round(allowedAfterDrains)} of its traffic together`,
+		`raise maximumShare of ${left.map(({region}) => region).join(', ')} in regionShares, or remove one of the drains`,
+	)];
 };
 
 const checkShift = (intent: Intent, index: number): IntentProblem[] => {
--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -56,7 +56,12 @@
 	const given: unknown = Array.isArray(raw) && raw.length === 1 ? raw[0] : raw;
 	if (Array.isArray(given)) {
 		return err({
-			kind: 'repeated', section, key, value: given.map(value => rawText(value)).join(', '), problem: `the key is given ${given.length} times`, fix: 'keep one of them',
+			kind: 'repeated',
+			section,
+			key,
+			value: given.map(value => rawText(value)).join(', '),
+			problem: `the key is given ${given.length} times`,
+			fix: 'keep one of them',
 		});
 	}
 
--- a/packages/settings/src/processSections.ts
+++ b/packages/settings/src/processSections.ts
@@ -64,7 +64,7 @@
 			description: 'Time limit of one call to the platform.', defaultText: '2000', minimum: 10, maximum: 60_000,
 		}),
 		maximumCalls: countSetting({
-			description: 'Calls to the platform in progress at once; more wait.', defaultText: '32', minimum: 1, maximum: 1000,
+			description: 'Calls to the platform in progress at once, to each of its services; more wait.', defaultText: '16', minimum: 1, maximum: 1000,
 		}),
 	},
 };
--- a/packages/types/src/entryState.ts
+++ b/packages/types/src/entryState.ts
@@ -19,9 +19,9 @@
 	/** All members that the process knows, itself included. */
 	readonly members: readonly Member[];
 	/** Absent before the first configuration. */
-	readonly configuration: ConfigurationInForce | undefined;
+	readonly configuration?: ConfigurationInForce | undefined;
 	readonly drains: readonly Drain[];
-	readonly shiftCaps: ShiftCaps | undefined;
+	readonly shiftCaps?: ShiftCaps | undefined;
 	/** Shifts in progress at this process; each process moves its own traffic. */
 	readonly shifts: readonly ShiftProgress[];
 };
