Configuration: offers of accepted changes, the intent checked at acceptance

An accepted change that no process has polled yet would not spread while the platform is down. An offer carries the head and its new parts to entries. Sources of heads moved out of the follower.

--- a/packages/configuration/src/__tests__/acceptConfiguration.test.ts
+++ b/packages/configuration/src/__tests__/acceptConfiguration.test.ts
@@ -160,6 +160,13 @@
 	expect(head._unsafeUnwrapErr().kind).toBe('malformed');
 });
 
+test('an intent with a problem is never accepted', async () => {
+	const intent = {...sampleIntent, lookups: {...sampleIntent.lookups, lifetimeSeconds: -1}};
+	expect(await errorAfter({intent, expectedVersion: 0, changeId: 'c1'})).toMatchObject({kind: 'invalid', detail: expect.stringContaining('lifetimeSeconds') as string});
+	const head = await readHead(platform);
+	expect(head._unsafeUnwrap()).toBeUndefined();
+});
+
 test('after a restore the next version passes those in force', async () => {
 	await accept({expectedVersion: 0, changeId: 'c1'});
 	expect(await versionAfter({expectedVersion: 1, minimumVersion: 41, changeId: 'c2'})).toBe(42);
--- a/packages/configuration/src/__tests__/collectGarbage.test.ts
+++ b/packages/configuration/src/__tests__/collectGarbage.test.ts
@@ -182,6 +182,7 @@
 		memory.setFaults([]);
 		const head = await readHead(memory);
 		const accepted = head._unsafeUnwrap()?.version ?? 0;
+		expect(accepted).toBeGreaterThan(0);
 		for (let version = Math.max(1, accepted - 1); version <= accepted; version += 1) {
 			const configuration = await readConfiguration(memory, version); // eslint-disable-line no-await-in-loop
 			expect(configuration.isOk() && configuration.value?.version).toBe(version);
--- a/packages/configuration/src/__tests__/createFollower.test.ts
+++ b/packages/configuration/src/__tests__/createFollower.test.ts
@@ -14,6 +14,7 @@
 import {createFollower, type FollowerOptions} from '../createFollower.js';
 import type {ConfigurationFollower} from '../follower.js';
 import {formatHead, headKey, parseHead} from '../head.js';
+import {createOffer, parseOffer} from '../offer.js';
 import {hashOfReference, partKey} from '../partReference.js';
 import type {PeerConfigurationSource} from '../peerConfigurationSource.js';
 import {drainedIntent, sampleBlocks, sampleIntent} from './sampleIntent.js';
@@ -139,7 +140,8 @@
 	platform.setFaults(allDown);
 	await first.stop();
 	const third = start({peers: peerOf(second)});
-	second.offer(formatHead(head), newParts.map(part => part.content));
+	const offer = parseOffer(JSON.stringify(createOffer({head, newParts})));
+	second.offer(offer._unsafeUnwrap().head, offer._unsafeUnwrap().parts);
 	await untilVersion(second, 2);
 	await untilVersion(third, 2);
 	const restarted = start({peers: peerOf(third)});
--- a/packages/configuration/src/__tests__/sampleIntent.ts
+++ b/packages/configuration/src/__tests__/sampleIntent.ts
@@ -22,10 +22,19 @@
 		name: 'orders',
 		pathPrefix: '/orders',
 		hosts: [],
-		endpoints: [{
-			id: 'orders-1', host: '127.0.0.1', port: 9000, availabilityZone: 'south-a', slots: 3,
+		endpoints: ['orders-1', 'orders-2'].map((id, index) => ({
+			id, host: '127.0.0.1', port: 9000 + index, availabilityZone: 'south-a', slots: 3,
+		})),
+		routes: [{
+			name: 'all',
+			methods: [],
+			pathPrefix: '/',
+			requestClass: 'interactive',
+			kind: 'idempotent',
+			deadlineMs: 1000,
+			hedge: false,
+			claimOutage: 'refuse',
 		}],
-		routes: [],
 		maximumBodyBytes: 1000,
 	}],
 	regionShares: [],
@@ -34,7 +43,8 @@
 	drains: [],
 	shifts: [],
 	sites: [{name: 'site-1', availabilityZone: 'south-a'}],
-	sitePreferences: [{name: 'preference-0', sites: ['site-1']}],
+	sitePreferences: ['preference-0', 'preference-1', 'preference-2', 'preference-3', 'preference-4', 'preference-5', 'preference-6', 'other']
+		.map(name => ({name, sites: ['site-1']})),
 	clientBlocks: sampleBlocks(10),
 	lookups: {lifetimeSeconds: 5, addresses: 2, defaultPreference: 'preference-0'},
 	tenants: [],
--- a/packages/configuration/src/__tests__/splitIntent.test.ts
+++ b/packages/configuration/src/__tests__/splitIntent.test.ts
@@ -10,6 +10,7 @@
 import {
 	parseBlocks, parseManifest, parseObject, parseReferences,
 } from '../partForms.js';
+import {parseOffer} from '../offer.js';
 import {hashOfReference, type PartReference} from '../partReference.js';
 import {splitIntent} from '../splitIntent.js';
 import {sampleBlocks, sampleIntent} from './sampleIntent.js';
@@ -73,7 +74,7 @@
 test('any text is either read or malformed, never an exception', () => {
 	const texts = fc.oneof(fc.string(), fc.json(), fc.json().map(text => text.slice(0, -1)));
 	fc.assert(fc.property(texts, text => {
-		for (const parse of [parseHead, parseManifest, parseReferences, parseObject]) {
+		for (const parse of [parseHead, parseManifest, parseReferences, parseObject, parseOffer]) {
 			const parsed = parse(text);
 			expect(parsed.isOk() || parsed.error.kind === 'malformed').toBe(true);
 		}
--- a/packages/configuration/src/acceptConfiguration.ts
+++ b/packages/configuration/src/acceptConfiguration.ts
@@ -2,6 +2,8 @@
  * Accepts an intent as the next version: parts to the object store, then one transaction.
  */
 import {setTimeout as delay} from 'node:timers/promises';
+import {checkIntent} from '@filbertwell/intent/checkIntent';
+import {formatIntentProblem} from '@filbertwell/intent/intentProblem';
 import type {Platform} from '@filbertwell/platform/platform';
 import type {PlatformError} from '@filbertwell/platform/platformError';
 import type {Transaction} from '@filbertwell/platform/table';
@@ -11,7 +13,7 @@
 } from 'neverthrow';
 import {forEachBounded} from './boundedWork.js';
 import {
-	collectionKey, formatHead, headKey, parseHead, versionKey, type Head,
+	collectionKey, formatHead, headKey, parseHead, versionKey, versionPrefix, type Head,
 } from './head.js';
 import {hashOfReference, partKey, type PartReference} from './partReference.js';
 import {listPartTree} from './partTree.js';
@@ -70,6 +72,8 @@
 const maximumAttempts = 6;
 const firstWaitMs = 100;
 const putConcurrency = 16;
+/** Problems of an intent that are named in an error. */
+const maximumProblems = 5;
 
 const fromPlatform = ({kind, operation, detail}: PlatformError): AcceptanceError => ({
 	kind: kind === 'invalid' ? 'invalid' : 'unavailable',
@@ -88,7 +92,7 @@
 
 	const head = headRow.value === undefined ? ok(undefined) : parseHead(headRow.value.value);
 	return head
-		.mapErr((error): AcceptanceError => ({kind: 'invalid', detail: `row ${headKey} cannot be read (${error.detail}); restore it from row ${versionKey(1).slice(0, -1)}...`}))
+		.mapErr((error): AcceptanceError => ({kind: 'invalid', detail: `row ${headKey} cannot be read (${error.detail}); restore it from the newest row under ${versionPrefix}`}))
 		.map(value => ({
 			head: value,
 			headRevision: headRow.value?.revision ?? 0,
@@ -123,6 +127,11 @@
 });
 
 const accept = async (options: AcceptanceOptions): Promise<Outcome> => {
+	const checked = checkIntent(options.intent);
+	if (checked.isErr()) {
+		return err({kind: 'invalid', detail: checked.error.slice(0, maximumProblems).map(problem => formatIntentProblem(problem)).join('; ')});
+	}
+
 	const {platform, intent, expectedVersion, changeId, author, acceptedAt} = options;
 	const wait = options.wait ?? (async (milliseconds: number) => delay(milliseconds));
 	const version = Math.max(expectedVersion, options.minimumVersion ?? 0) + 1;
--- a/packages/configuration/src/createFollower.ts
+++ b/packages/configuration/src/createFollower.ts
@@ -18,11 +18,11 @@
 import {createPartFetcher, type PartSource} from './fetchParts.js';
 import type {ConfigurationFollower} from './follower.js';
 import {parseHead, type Head} from './head.js';
+import {createHeadSources} from './headSources.js';
 import {createPartCache} from './partCache.js';
 import {hashOfReference} from './partReference.js';
 import type {PeerConfigurationSource} from './peerConfigurationSource.js';
 import {createProblemLog} from './problemLog.js';
-import {readHead} from './readConfiguration.js';
 import {createStoreSource} from './storedParts.js';
 
 /** Parameters of a follower. */
@@ -57,8 +57,6 @@
 	const inForce = new ReplaySubject<Configuration>(1);
 	const wakeups = new Subject<void>();
 	const offered = createPartCache(maximumOfferedCharacters);
-	const storeProblem = createProblemLog(log);
-	const headProblem = createProblemLog(log);
 	const loadProblem = createProblemLog(log);
 	const startProblem = createProblemLog(log);
 
@@ -71,59 +69,9 @@
 	const stopping = stopper.signal;
 
 	const currentVersion = () => assembled?.head.version ?? 0;
-
-	const checkStoreHead = (head: Head) => {
-		const current = assembled?.head ?? head;
-		const fields = {
-			version: head.version, changeId: head.changeId, versionInForce: current.version, changeInForce: current.changeId,
-		};
-		if (head.version < current.version) {
-			headProblem.report(configurationEvents.headBehind, fields);
-		} else if (head.version === current.version && head.changeId !== current.changeId) {
-			headProblem.report(configurationEvents.headDiffers, fields);
-		} else {
-			headProblem.clear();
-		}
-	};
-
-	const pollStore = async (): Promise<Head | undefined> => {
-		lastPollAt = clock();
-		const head = await readHead(platform);
-		if (head.isErr()) {
-			if (head.error.kind === 'malformed') {
-				headProblem.report(configurationEvents.headMalformed, {origin: 'store', detail: head.error.detail});
-			} else {
-				storeProblem.report(configurationEvents.storeUnreachable, {kind: head.error.kind});
-			}
-
-			return undefined;
-		}
-
-		if (storeProblem.clear()) {
-			log(configurationEvents.storeReachable);
-		}
-
-		if (head.value !== undefined) {
-			checkStoreHead(head.value);
-		}
-
-		return head.value;
-	};
-
-	const askPeers = async (): Promise<Head | undefined> => {
-		const text = await peers.fetchHead();
-		if (text.isErr() || text.value === undefined) {
-			return undefined;
-		}
-
-		const head = parseHead(text.value);
-		if (head.isErr()) {
-			headProblem.report(configurationEvents.headMalformed, {origin: 'peer', detail: head.error.detail});
-			return undefined;
-		}
-
-		return head.value;
-	};
+	const heads = createHeadSources({
+		platform, peers, log, headInForce: () => assembled?.head,
+	});
 
 	const peerSource: PartSource = {
 		origin: 'peer',
@@ -184,8 +132,8 @@
 	};
 
 	/** Loads the highest head that can be had. */
-	const loadHighest = async (heads: readonly Head[]) => {
-		for (const head of heads.toSorted((a, b) => b.version - a.version)) {
+	const loadHighest = async (candidates: readonly Head[]) => {
+		for (const head of candidates.toSorted((a, b) => b.version - a.version)) {
 			if (head.version <= currentVersion() || mustWait(head)) {
 				return;
 			}
@@ -205,9 +153,10 @@
 	const step = async () => {
 		const pollDue = clock() - lastPollAt >= (isPoller() || assembled === undefined ? pollMs : backstopMs) * (1 - pollJitter);
 		const peersDue = assembled === undefined || announced > currentVersion();
+		lastPollAt = pollDue ? clock() : lastPollAt;
 		const found = await Promise.all([
-			pollDue ? pollStore() : undefined,
-			peersDue ? askPeers() : undefined,
+			pollDue ? heads.readStore() : undefined,
+			peersDue ? heads.askPeers() : undefined,
 		]);
 		await loadHighest([offeredHead, ...found].filter(head => head !== undefined));
 	};
