--- a/packages/cli/src/adminClient.ts
+++ b/packages/cli/src/adminClient.ts
@@ -4,6 +4,7 @@
 import {once} from 'node:events';
 import {request, type IncomingMessage} from 'node:http';
 import {text as readText} from 'node:stream/consumers';
+import type {Offer} from '@filbertwell/configuration/offer';
 import type {EntryState, Explanation} from '@filbertwell/types/entryState';
 import type {SocketAddress} from '@filbertwell/types/place';
 import {
@@ -28,11 +29,11 @@
 	readonly body: string;
 };
 
-const get = async ({host, port}: SocketAddress, path: string): Promise<HttpAnswer> => {
+const send = async ({host, port}: SocketAddress, method: 'GET' | 'POST', path: string, body = ''): Promise<HttpAnswer> => {
 	const outgoing = request({
-		host, port, path, agent: false, signal: AbortSignal.timeout(timeoutMs),
+		host, port, method, path, agent: false, signal: AbortSignal.timeout(timeoutMs),
 	});
-	outgoing.end();
+	outgoing.end(body);
 	const [response] = await once(outgoing, 'response') as [IncomingMessage];
 	return {status: response.statusCode ?? 0, body: await readText(response)};
 };
@@ -40,7 +41,7 @@
 const getJson = async <Value>(address: SocketAddress, path: string, schema: z.ZodType<Value>): Promise<Result<Value, AdminError>> => {
 	const fail = (detail: string) => err({address: formatAddress(address), detail});
 	try {
-		const {status, body} = await get(address, path);
+		const {status, body} = await send(address, 'GET', path);
 		if (status !== 200) {
 			return fail(`status ${status}: ${body.slice(0, 200).trim()}`);
 		}
@@ -77,3 +78,20 @@
  */
 export const fetchExplanation = async (address: SocketAddress, query: ExplanationQuery): Promise<Result<Explanation, AdminError>> =>
 	getJson(address, `/explain?${new URLSearchParams(query).toString()}`, explanationSchema);
+
+/**
+ * Offers an accepted change to an entry, which then need not wait for its next poll.
+ *
+ * @param address - Its admin address.
+ * @param offer - The accepted head and its new parts.
+ * @returns Nothing, or why the entry did not take the offer in.
+ */
+export const sendOffer = async (address: SocketAddress, offer: Offer): Promise<Result<void, AdminError>> => {
+	const fail = (detail: string) => err({address: formatAddress(address), detail});
+	try {
+		const {status, body} = await send(address, 'POST', '/configuration/offer', JSON.stringify(offer));
+		return status === 202 ? ok() : fail(`status ${status}: ${body.slice(0, 200).trim()}`);
+	} catch (error) {
+		return fail((error as NodeJS.ErrnoException).code ?? String(error));
+	}
+};
--- a/packages/cli/src/submitChange.ts
+++ b/packages/cli/src/submitChange.ts
@@ -3,6 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {acceptConfiguration, type AcceptanceError} from '@filbertwell/configuration/acceptConfiguration';
+import {createOffer} from '@filbertwell/configuration/offer';
 import {readHistory} from '@filbertwell/configuration/readConfiguration';
 import {checkIntent} from '@filbertwell/intent/checkIntent';
 import {diffIntent, type IntentChange} from '@filbertwell/intent/diffIntent';
@@ -12,6 +13,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
+import {sendOffer} from './adminClient.js';
 import {awaitInForce, type InForceReport} from './awaitInForce.js';
 import type {CommandContext} from './commandContext.js';
 import {failed, type CommandFailure, type CommandOutcome} from './commandFailure.js';
@@ -25,6 +27,8 @@
 	readonly expect?: number | undefined;
 	/** Token of the change; the same again does not apply it twice. */
 	readonly changeId?: string | undefined;
+	/** Version that the new one must pass; only after the table was restored from a backup. */
+	readonly minimumVersion?: number | undefined;
 	readonly wait: boolean;
 	/** Longest wait in seconds. */
 	readonly timeout: number;
@@ -120,11 +124,16 @@
 	}
 
 	const acceptance = await acceptConfiguration({
-		platform: context.platform, intent, expectedVersion, changeId, author: context.author, acceptedAt: new Date().toISOString(),
+		platform: context.platform, intent, expectedVersion, minimumVersion: options.minimumVersion, changeId, author: context.author, acceptedAt: new Date().toISOString(),
 	});
-	return acceptance.isOk()
-		? ok({version: acceptance.value.head.version, changeId, changes})
-		: err(await acceptanceFailure(context, acceptance.error, expectedVersion, changeId));
+	if (acceptance.isErr()) {
+		return err(await acceptanceFailure(context, acceptance.error, expectedVersion, changeId));
+	}
+
+	// Should the platform go down now, entries that have the offer carry the change on.
+	const offer = createOffer(acceptance.value);
+	await Promise.all(context.settings.entries.adminAddresses.map(async address => sendOffer(address, offer)));
+	return ok({version: acceptance.value.head.version, changeId, changes});
 };
 
 const describeInForce = (context: CommandContext, {instances, lagging, seconds, unanswered, version}: InForceReport): string => {
