--- /dev/null
+++ b/packages/harness/src/startDeployment.ts
@@ -0,0 +1,220 @@
+/**
+ * A whole deployment on loopback: platform stand-in, upstream stand-ins and entries.
+ */
+import {mkdtemp, rm} from 'node:fs/promises';
+import {createRequire} from 'node:module';
+import os from 'node:os';
+import process from 'node:process';
+import path from 'node:path';
+import {randomUUID} from 'node:crypto';
+import {acceptConfiguration} from '@filbertwell/configuration/acceptConfiguration';
+import {readHead} from '@filbertwell/configuration/readConfiguration';
+import {silentLogger} from '@filbertwell/logger/logger';
+import {createHttpPlatform, type HttpPlatform} from '@filbertwell/platform/httpPlatform';
+import type {ServiceTime} from '@filbertwell/standins/serviceTime';
+import type {Intent} from '@filbertwell/types/intent';
+import type {SocketAddress} from '@filbertwell/types/place';
+import {monotonicClock} from '@filbertwell/utils/clock';
+import {createRandom} from '@filbertwell/utils/random';
+import {deploymentShape, endpointCount, type DeploymentName} from './deploymentShape.js';
+import {startEntry, type EntryProcess} from './entryProcess.js';
+import {findFreePorts} from './freePorts.js';
+import {requestJson} from './httpJson.js';
+import {findPortBlock} from './portBlock.js';
+import {startProcess, stopProcess, type RunningProcess} from './startProcess.js';
+import {startUpstreams, type UpstreamProcess} from './upstreamProcess.js';
+import {waitUntil} from './waitUntil.js';
+
+/** What to start. */
+export type DeploymentOptions = {
+	readonly name: DeploymentName;
+	readonly entries: number;
+	readonly seed: number;
+	readonly serviceTimeMs: ServiceTime;
+	readonly responseBytes: number;
+	/** Changes the intent of the shape before it is applied. */
+	readonly adapt: (intent: Intent) => Intent;
+	/** Further lines of every entry's settings. */
+	readonly entrySettings: readonly string[];
+	/** Options of Node.js for entries. */
+	readonly entryNodeArguments: readonly string[];
+};
+
+/** Options with the usual values. */
+export const defaultDeploymentOptions: DeploymentOptions = {
+	name: 'rodalar',
+	entries: 8,
+	seed: 1,
+	serviceTimeMs: {kind: 'exponential', meanMs: 10},
+	responseBytes: 200,
+	adapt: intent => intent,
+	entrySettings: [],
+	entryNodeArguments: [],
+};
+
+/** A running deployment. */
+export type Deployment = {
+	/** Folder with settings and logs. */
+	readonly directory: string;
+	readonly platformAddress: SocketAddress;
+	readonly platform: HttpPlatform;
+	readonly platformProcess: RunningProcess;
+	readonly upstreams: readonly UpstreamProcess[];
+	readonly entries: () => readonly EntryProcess[];
+	/** The intent that was applied last. */
+	readonly intent: () => Intent;
+	/** Accepts an intent as the next version; returns the version. */
+	readonly apply: (intent: Intent) => Promise<number>;
+	/** Whether every running entry has at least a version in force, within a time. */
+	readonly waitInForce: (version: number, timeoutMs: number) => Promise<boolean>;
+	/** Asks an entry to stop; resolves when it has ended. */
+	readonly stopEntry: (id: string, graceMs: number) => Promise<void>;
+	/** Starts a new entry in place of one that has ended, under a new id. */
+	readonly replaceEntry: (id: string) => Promise<EntryProcess>;
+	readonly stop: () => Promise<void>;
+};
+
+const startTimeoutMs = 30_000;
+const stopGraceMs = 3000;
+const platformTimeoutMs = 5000;
+const platformScript = createRequire(import.meta.url).resolve('@filbertwell/standins/platformMain');
+const host = '127.0.0.1';
+
+const startPlatform = async (port: number, directory: string): Promise<RunningProcess> => {
+	const running = startProcess({
+		name: 'platform', script: platformScript, arguments: ['--port', String(port)], logFile: path.join(directory, 'platform.log'),
+	});
+	const listens = await waitUntil(async () => {
+		const answer = await requestJson('GET', `http://${host}:${port}/statistics`);
+		return answer?.status === 200;
+	}, startTimeoutMs);
+	if (!listens) {
+		running.signal('SIGKILL');
+		throw new Error(`the platform stand-in did not listen within ${startTimeoutMs} ms; see ${directory}`);
+	}
+
+	return running;
+};
+
+/**
+ * Starts a deployment, applies its intent and waits until every entry is ready.
+ *
+ * @param chosen - Options that differ from the usual ones.
+ * @returns The running deployment; its `stop` ends all processes.
+ * @throws If a part doesn't start in time.
+ */
+export const startDeployment = async (chosen: Partial<DeploymentOptions> = {}): Promise<Deployment> => {
+	const options = {...defaultDeploymentOptions, ...chosen};
+	const directory = await mkdtemp(path.join(os.tmpdir(), `filbertwell-${options.name}-`));
+	const random = createRandom((options.seed * 7919) + process.pid);
+	const shape = deploymentShape(options.name);
+	const endpoints = endpointCount(shape.createIntent({host, basePort: 1}));
+	const basePort = await findPortBlock(endpoints, random);
+	let intent = options.adapt(shape.createIntent({host, basePort}));
+	const zones = intent.regions.flatMap(region => region.availabilityZones.map(availabilityZone => ({region: region.name, availabilityZone})));
+
+	const [platformPort, ...controlPorts] = await findFreePorts(1 + zones.length);
+	const platformAddress = {host, port: platformPort!};
+	const platformProcess = await startPlatform(platformAddress.port, directory);
+	const platform = createHttpPlatform({
+		address: platformAddress, timeoutMs: platformTimeoutMs, clock: monotonicClock, random, log: silentLogger,
+	});
+	const upstreams = await Promise.all(zones.map(async ({availabilityZone}, index) => startUpstreams({
+		intent,
+		availabilityZone,
+		controlPort: controlPorts[index]!,
+		serviceTimeMs: options.serviceTimeMs,
+		responseBytes: options.responseBytes,
+		directory,
+		seed: options.seed + index,
+	})));
+
+	const entries = new Map<string, EntryProcess>();
+	let started = 0;
+
+	const addEntry = async (zone: {readonly region: string; readonly availabilityZone: string}): Promise<EntryProcess> => {
+		started += 1;
+		const [callers, admin, peers] = await findFreePorts(3);
+		const entry = await startEntry({
+			id: `entry-${started}`,
+			...zone,
+			callers: {host, port: callers!},
+			admin: {host, port: admin!},
+			peers: {host, port: peers!},
+			platform: platformAddress,
+			seeds: [...entries.values()].slice(0, 3).map(other => other.placement.peers),
+			extraLines: options.entrySettings,
+		}, directory, options.entryNodeArguments);
+		entries.set(entry.placement.id, entry);
+		return entry;
+	};
+
+	const apply = async (next: Intent): Promise<number> => {
+		const head = await readHead(platform);
+		const acceptance = await acceptConfiguration({
+			platform,
+			intent: next,
+			expectedVersion: head.isOk() ? (head.value?.version ?? 0) : 0,
+			changeId: randomUUID(),
+			author: 'harness',
+			acceptedAt: new Date().toISOString(),
+		});
+		if (acceptance.isErr()) {
+			throw new Error(`the intent was not accepted: ${JSON.stringify(acceptance.error)}`);
+		}
+
+		intent = next;
+		return acceptance.value.head.version;
+	};
+
+	const running = (): EntryProcess[] => [...entries.values()].filter(entry => !entry.process.hasExited());
+
+	const waitInForce = async (version: number, timeoutMs: number): Promise<boolean> => waitUntil(async () => {
+		const states = await Promise.all(running().map(async entry => entry.state()));
+		return states.every(state => (state?.configuration?.version ?? 0) >= version);
+	}, timeoutMs);
+
+	const stop = async (): Promise<void> => {
+		await Promise.all(running().map(async entry => stopProcess(entry.process, stopGraceMs)));
+		await Promise.all(upstreams.map(async upstream => stopProcess(upstream.process, stopGraceMs)));
+		platform.close();
+		await stopProcess(platformProcess, stopGraceMs);
+		await rm(directory, {recursive: true, force: true});
+	};
+
+	await apply(intent);
+	for (let index = 0; index < options.entries; index += 1) {
+		await addEntry(zones[index % zones.length]!); // eslint-disable-line no-await-in-loop -- later entries take earlier ones as seeds
+	}
+
+	const ready = await waitUntil(async () => {
+		const states = await Promise.all(running().map(async entry => entry.isReady()));
+		return running().length === options.entries && states.every(Boolean);
+	}, startTimeoutMs);
+	if (!ready) {
+		throw new Error(`the entries were not ready within ${startTimeoutMs} ms; see the logs in ${directory}`);
+	}
+
+	return {
+		directory,
+		platformAddress,
+		platform,
+		platformProcess,
+		upstreams,
+		entries: () => running(),
+		intent: () => intent,
+		apply,
+		waitInForce,
+		async stopEntry(id, graceMs) {
+			const entry = entries.get(id);
+			if (entry !== undefined) {
+				await stopProcess(entry.process, graceMs);
+			}
+		},
+		async replaceEntry(id) {
+			const {region, availabilityZone} = entries.get(id)!.placement;
+			return addEntry({region, availabilityZone});
+		},
+		stop,
+	};
+};
