--- /dev/null
+++ b/packages/entry/src/adminServer.ts
@@ -0,0 +1,144 @@
+/**
+ * HTTP server for operators and the metrics system: health, readiness, state, metrics and explanations.
+ */
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {EntryState, Explanation} from '@filbertwell/types/entryState';
+import type {SocketAddress} from '@filbertwell/types/place';
+import type {Result} from 'neverthrow';
+
+/** Whether the process serves; if not, why. */
+export type Readiness = {
+	readonly ready: boolean;
+	readonly reason: string;
+};
+
+/** What is to be explained. */
+export type ExplanationQuery = {
+	readonly service: string;
+	readonly address: string;
+	readonly method: string;
+	readonly path: string;
+};
+
+/** What the server answers from. */
+export type AdminServerOptions = {
+	readonly address: SocketAddress;
+	readonly readiness: () => Readiness;
+	/** Body of `GET /state`; may carry more than an `EntryState`. */
+	readonly state: () => EntryState;
+	readonly exposition: () => Promise<string>;
+	/** Explains a request's way; an error is a sentence for the operator. */
+	readonly explain: (query: ExplanationQuery) => Result<Explanation, string>;
+};
+
+/** A running server. */
+export type AdminServer = {
+	readonly address: SocketAddress;
+	readonly close: () => Promise<void>;
+};
+
+const expositionType = 'text/plain; version=0.0.4; charset=utf-8';
+const paths = ['/health', '/ready', '/state', '/metrics', '/explain'];
+
+const sendJson = (response: ServerResponse, status: number, body: unknown): void => {
+	response.writeHead(status, {'content-type': 'application/json'});
+	response.end(JSON.stringify(body));
+};
+
+const parseUrl = (request: IncomingMessage): URL | undefined => {
+	try {
+		return new URL(request.url ?? '/', 'http://admin');
+	} catch {
+		return undefined;
+	}
+};
+
+/**
+ * Starts the server.
+ *
+ * @param options - Address and the functions that it answers from.
+ * @returns The server, once it listens; rejects where the address can't be listened on.
+ */
+export const createAdminServer = async (options: AdminServerOptions): Promise<AdminServer> => {
+	const {address, readiness, state, exposition, explain} = options;
+
+	const sendExplanation = (query: URLSearchParams, response: ServerResponse): void => {
+		const service = query.get('service');
+		const callerAddress = query.get('address');
+		if (service === null || callerAddress === null) {
+			sendJson(response, 400, {problem: 'query parameters "service" and "address" are needed; use /explain?service=NAME&address=IP'});
+			return;
+		}
+
+		explain({
+			service, address: callerAddress, method: query.get('method') ?? 'GET', path: query.get('path') ?? '/',
+		}).match(
+			explanation => {
+				sendJson(response, 200, explanation);
+			},
+			problem => {
+				sendJson(response, 404, {problem});
+			},
+		);
+	};
+
+	const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		const url = parseUrl(request);
+		if (request.method !== 'GET' && request.method !== 'HEAD') {
+			sendJson(response, 405, {problem: `method "${request.method}" is not answered here; use GET`});
+			return;
+		}
+
+		switch (url?.pathname ?? '') {
+			case '/health': {
+				sendJson(response, 200, {status: 'running'});
+				return;
+			}
+
+			case '/ready': {
+				const current = readiness();
+				sendJson(response, current.ready ? 200 : 503, current);
+				return;
+			}
+
+			case '/state': {
+				sendJson(response, 200, state());
+				return;
+			}
+
+			case '/metrics': {
+				const text = await exposition();
+				response.writeHead(200, {'content-type': expositionType});
+				response.end(text);
+				return;
+			}
+
+			case '/explain': {
+				sendExplanation(url.searchParams, response);
+				return;
+			}
+
+			default: {
+				sendJson(response, 404, {problem: `path "${url?.pathname ?? request.url}" is unknown; use one of ${paths.join(', ')}`});
+			}
+		}
+	};
+
+	const server = createServer((request, response) => {
+		request.resume();
+		void answer(request, response);
+	});
+	server.listen(address.port, address.host);
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	return {
+		address: {host: address.host, port},
+		async close() {
+			server.closeAllConnections();
+			server.close();
+			await once(server, 'close');
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/controlPlane.ts
@@ -0,0 +1,120 @@
+/**
+ * What every process of the system runs for control: platform, peers, membership, the
+ * configuration in force and look-ups. The look-up process has the same without the request path.
+ */
+import {createFollower} from '@filbertwell/configuration/createFollower';
+import type {ConfigurationFollower} from '@filbertwell/configuration/follower';
+import {selectPollers} from '@filbertwell/configuration/selectPollers';
+import {createLogger} from '@filbertwell/logger/logger';
+import {createMembership} from '@filbertwell/membership/createMembership';
+import type {Membership} from '@filbertwell/membership/membership';
+import type {Metrics} from '@filbertwell/metrics/metrics';
+import {createPeerChannel, type PeerChannel} from '@filbertwell/peer-protocol/peerChannel';
+import {createHttpPlatform, type HttpPlatform} from '@filbertwell/platform/httpPlatform';
+import type {EntrySettings} from '@filbertwell/settings/entrySettings';
+import {createLookup, type Lookup} from '@filbertwell/steering/lookup';
+import type {MemberRole} from '@filbertwell/types/member';
+import type {SocketAddress} from '@filbertwell/types/place';
+import type {Clock} from '@filbertwell/utils/clock';
+import type {Random} from '@filbertwell/utils/random';
+import {createPeerConfigurationSource, serveConfigurationToPeers} from './peerConfiguration.js';
+
+/** Settings that the control plane reads. */
+export type ControlSettings = Pick<EntrySettings, 'process' | 'peers' | 'platform' | 'configuration' | 'membership'>;
+
+/** Parameters of the control plane. */
+export type ControlPlaneOptions = {
+	readonly settings: ControlSettings;
+	readonly role: MemberRole;
+	readonly callerAddress: SocketAddress;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly metrics: Metrics;
+};
+
+/** The running control plane. */
+export type ControlPlane = {
+	readonly platform: HttpPlatform;
+	readonly channel: PeerChannel;
+	readonly membership: Membership;
+	readonly follower: ConfigurationFollower;
+	readonly lookup: Lookup;
+	readonly stop: () => Promise<void>;
+};
+
+/** Members up to which every process polls the head of the configuration. */
+const allPollUpTo = 16;
+const pollersPerZone = 2;
+
+/**
+ * Starts the control plane.
+ *
+ * @param options - Settings, place and metrics.
+ * @returns The running control plane; rejects where the peer address can't be listened on.
+ */
+export const startControlPlane = async ({settings, role, callerAddress, clock, random, metrics}: ControlPlaneOptions): Promise<ControlPlane> => {
+	const {id, region, availabilityZone, site} = settings.process;
+	const platform = createHttpPlatform({
+		address: settings.platform,
+		timeoutMs: settings.platform.timeoutMs,
+		maximumActive: settings.platform.maximumCalls,
+		clock,
+		random,
+		log: createLogger('platform'),
+		onFinished({operation, outcome}) {
+			metrics.increment('platform_calls_total', {operation, outcome});
+		},
+	});
+	const channel = await createPeerChannel({address: settings.peers, log: createLogger('peers')});
+	const membership = createMembership({
+		self: {
+			id, role, region, availabilityZone, site, callerAddress,
+		},
+		seeds: settings.peers.seeds,
+		instances: platform.instances,
+		channel,
+		clock,
+		random,
+		log: createLogger('membership'),
+		roundIntervalMs: settings.membership.heartbeatMs,
+		listIntervalMs: settings.membership.listMs,
+		removeAfterMs: settings.membership.forgetMs,
+	});
+
+	const isPoller = (): boolean => {
+		const members = membership.members().filter(member => member.health === 'alive');
+		return selectPollers({members, pollersPerZone, allPollUpTo}).has(id);
+	};
+
+	const follower = createFollower({
+		platform,
+		clock,
+		random,
+		log: createLogger('configuration'),
+		peers: createPeerConfigurationSource(membership, channel),
+		isPoller,
+		pollMs: settings.configuration.pollMs,
+		backstopMs: settings.configuration.backstopMs,
+	});
+	serveConfigurationToPeers(channel, follower);
+
+	const lookup = createLookup({members: () => membership.members(), clock});
+	const subscription = follower.inForce.subscribe(configuration => {
+		membership.announceConfiguration(configuration.version);
+		void lookup.update(configuration);
+	});
+
+	return {
+		platform,
+		channel,
+		membership,
+		follower,
+		lookup,
+		async stop() {
+			subscription.unsubscribe();
+			await follower.stop();
+			await membership.stop();
+			platform.close();
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/entryRuntime.ts
@@ -0,0 +1,260 @@
+/**
+ * The running entry: control plane, steering, routing, orders and the servers for callers and
+ * operators.
+ */
+import {createLogger} from '@filbertwell/logger/logger';
+import {entryEvents} from '@filbertwell/logger/events/entryEvents';
+import {processEvents} from '@filbertwell/logger/events/processEvents';
+import {steeringEvents} from '@filbertwell/logger/events/steeringEvents';
+import {createMetrics} from '@filbertwell/metrics/createMetrics';
+import {createOrders} from '@filbertwell/orders/createOrders';
+import {createRouter, type Router} from '@filbertwell/routing/createRouter';
+import {pollReports} from '@filbertwell/routing/reportPoller';
+import type {EntrySettings} from '@filbertwell/settings/entrySettings';
+import {createSteering, type DrivenSteering} from '@filbertwell/steering/createSteering';
+import type {EntryState} from '@filbertwell/types/entryState';
+import type {Member} from '@filbertwell/types/member';
+import {monotonicClock as clock} from '@filbertwell/utils/clock';
+import {runPeriodically, waitUnlessAborted} from '@filbertwell/utils/periodic';
+import {createRandom} from '@filbertwell/utils/random';
+import {firstValueFrom} from 'rxjs';
+import {createAdminServer, type Readiness} from './adminServer.js';
+import {createCallerServer, type CallerServer} from './callerServer.js';
+import {startControlPlane, type ControlPlane} from './controlPlane.js';
+import {explainRequest} from './explainRequest.js';
+import {startRegistration} from './instanceRegistration.js';
+import {createRequestRate} from './requestRate.js';
+import {fetchStartingSplits} from './startingSplits.js';
+import {createUpstreamClient} from './upstreamClient.js';
+
+/** A running entry. */
+export type EntryRuntime = {
+	/**
+	 * Leaves look-ups, waits until callers' cached answers have ended, finishes requests in
+	 * progress and closes.
+	 */
+	readonly stop: () => Promise<void>;
+};
+
+const steeringIntervalMs = 250;
+const conditionIntervalMs = 1000;
+const millisecondsPerSecond = 1000;
+const noJitter = 0;
+
+const isSharingEntry = (member: Member): boolean => member.role === 'entry' && member.state === 'serving';
+
+const stateOf = ({membership, follower}: ControlPlane, steering: DrivenSteering, router: Router): EntryState => {
+	const configuration = follower.current();
+	const state = {
+		self: membership.self(),
+		members: membership.members(),
+		configuration: configuration && {
+			version: configuration.version,
+			changeId: configuration.changeId,
+			author: configuration.author,
+			acceptedAt: configuration.acceptedAt,
+		},
+		drains: configuration?.intent.drains ?? [],
+		shiftCaps: configuration?.intent.shiftCaps,
+		shifts: steering.progress(),
+		services: router.state(),
+	};
+	return state;
+};
+
+/**
+ * Starts an entry. It serves once a configuration is in force.
+ *
+ * @param settings - Checked settings.
+ * @param seed - Seed of its random numbers.
+ * @returns The running entry; rejects where an address can't be listened on.
+ */
+export const startEntryRuntime = async (settings: EntrySettings, seed: number): Promise<EntryRuntime> => {
+	const log = createLogger('entry');
+	const random = createRandom(seed);
+	const stopping = new AbortController();
+	const {signal} = stopping;
+	const metrics = createMetrics({maximumLabelSets: settings.limits.maximumLabelSets});
+	const {id, region, availabilityZone} = settings.process;
+	const rate = createRequestRate();
+	let isServing = false;
+	let isLeaving = false;
+
+	const control = await startControlPlane({
+		settings, role: 'entry', callerAddress: settings.callers, clock, random, metrics,
+	});
+	const {platform, channel, membership, follower, lookup} = control;
+	const registration = startRegistration({
+		instances: platform.instances,
+		instance: {
+			id, kind: 'entry', host: settings.peers.host, port: channel.address.port, availabilityZone,
+		},
+		random,
+		log,
+	});
+	const orders = createOrders({
+		table: platform.table,
+		objects: platform.objects,
+		clock,
+		random,
+		log: createLogger('orders'),
+		entryId: id,
+		incarnation: membership.self().incarnation,
+	});
+	const upstreams = createUpstreamClient();
+	let steering = createSteering({
+		region, clock, log: createLogger('steering'), members: () => membership.members(), peerSplits: [],
+	});
+	const router = createRouter({
+		clock,
+		random,
+		log: createLogger('routing'),
+		metrics,
+		self: {id, region, availabilityZone},
+		chooseZone: service => steering.chooseZone(service, 'interactive'),
+	});
+
+	const readiness = (): Readiness => {
+		if (isLeaving) {
+			return {ready: false, reason: 'the process is stopping'};
+		}
+
+		return isServing ? {ready: true, reason: 'serving'} : {ready: false, reason: 'no configuration is in force yet'};
+	};
+
+	const admin = await createAdminServer({
+		address: settings.admin,
+		readiness,
+		state: () => stateOf(control, steering, router),
+		exposition: async () => metrics.exposition(),
+		explain: query => explainRequest({
+			entry: id, configuration: () => follower.current(), lookup, steering, routerState: () => router.state(),
+		}, query),
+	});
+
+	metrics.observeGauge('requests_in_flight', 'Requests at upstreams', () => router.load().inFlight);
+	metrics.observeGauge('requests_queued', 'Requests that wait for a slot', () => router.load().queued);
+	metrics.observeGauge('configuration_version', 'Version of the configuration in force', () => follower.current()?.version ?? 0);
+	metrics.observeGauge('members', 'Members that are not known to be gone', () => membership.members().length);
+
+	const shareEndpoints = () => {
+		router.setEntries(membership.members().filter(member => isSharingEntry(member)));
+	};
+
+	const followMembers = () => {
+		membership.changes.subscribe(shareEndpoints);
+		membership.listed.subscribe(instances => {
+			router.setLeaving(instances.filter(instance => instance.kind === 'upstream' && instance.state === 'leaving').map(instance => instance.id));
+		});
+	};
+
+	const startSteering = async () => {
+		await firstValueFrom(follower.inForce);
+		const peerSplits = await fetchStartingSplits({
+			membership, channel, clock, signal,
+		});
+		if (peerSplits.length > 0) {
+			log(steeringEvents.startedFromPeers, {services: peerSplits.length});
+		}
+
+		steering = createSteering({
+			region, clock, log: createLogger('steering'), members: () => membership.members(), peerSplits,
+		});
+		follower.inForce.subscribe(configuration => {
+			steering.configure(configuration);
+			router.configure(configuration);
+		});
+		channel.handle('steering.splits', () => ({configurationVersion: follower.current()?.version ?? 0, splits: steering.splits()}));
+	};
+
+	const reportLoad = () => {
+		rate.endPeriod(conditionIntervalMs);
+		membership.announceLoad({...router.load(), requestsPerSecond: rate.perSecond()});
+		steering.observe(router.conditions());
+	};
+
+	const startPeriodicWork = () => {
+		const everyInterval = (intervalMs: number, task: () => void) => {
+			void runPeriodically({
+				intervalMs, jitter: noJitter, random, signal, task,
+			});
+		};
+
+		everyInterval(steeringIntervalMs, () => {
+			steering.step();
+		});
+		everyInterval(conditionIntervalMs, reportLoad);
+		void pollReports({
+			clock, random, router, fetchReport: upstreams.fetchReport, signal,
+		});
+	};
+
+	const startCallerServer = async (): Promise<CallerServer> => createCallerServer({
+		settings: {
+			...settings.callers,
+			maximumConnections: settings.limits.maximumConnections,
+			maximumHeaderBytes: settings.limits.maximumHeaderBytes,
+			headersTimeoutMs: settings.limits.headerTimeoutMs,
+			requestTimeoutMs: settings.limits.requestTimeoutMs,
+			keepAliveTimeoutMs: settings.limits.idleTimeoutMs,
+		},
+		clock,
+		router: {
+			...router,
+			async route(request, send) {
+				rate.count();
+				return router.route(request, send);
+			},
+		},
+		upstreams,
+		orders,
+		lookup: (service, address) => lookup.answer(service, address).unwrapOr(undefined),
+		currentConfiguration: () => follower.current(),
+		isServing: () => isServing && !isLeaving,
+		log,
+		metrics,
+	});
+
+	followMembers();
+	await startSteering();
+	shareEndpoints();
+	startPeriodicWork();
+	const callers = await startCallerServer();
+	isServing = true;
+	membership.announceState('serving');
+	log(processEvents.started, {
+		id, callers: `${callers.address.host}:${callers.address.port}`, admin: `${admin.address.host}:${admin.address.port}`, version: follower.current()?.version,
+	});
+
+	const finishRequests = async () => {
+		const timeLimit = new AbortController();
+		await Promise.race([callers.close(), waitUnlessAborted(settings.stop.graceMs, timeLimit.signal)]);
+		timeLimit.abort();
+		if (callers.inProgress() > 0) {
+			log(entryEvents.requestsCutOff, {requests: callers.inProgress(), graceMs: settings.stop.graceMs});
+		}
+	};
+
+	return {
+		async stop() {
+			if (isLeaving) {
+				return;
+			}
+
+			isLeaving = true;
+			log(processEvents.stopping, {id});
+			membership.announceState('leaving');
+			registration.setState('leaving');
+			const lifetimeMs = (follower.current()?.intent.lookups.lifetimeSeconds ?? 0) * millisecondsPerSecond;
+			await waitUnlessAborted(lifetimeMs + settings.stop.drainMarginMs, signal);
+			await finishRequests();
+			stopping.abort();
+			await orders.stop();
+			await registration.remove();
+			await control.stop();
+			upstreams.close();
+			await admin.close();
+			log(processEvents.stopped, {id});
+		},
+	};
+};
