--- a/packages/entry/src/adminServer.ts
+++ b/packages/entry/src/adminServer.ts
@@ -47,13 +47,12 @@
 	response.end(JSON.stringify(body));
 };
 
-const parseUrl = (request: IncomingMessage): URL | undefined => {
-	try {
-		return new URL(request.url ?? '/', 'http://admin');
-	} catch {
-		return undefined;
-	}
-};
+const baseUrl = 'http://admin';
+
+/** A target that is no URL is answered as the path `/`. */
+const parseUrl = (request: IncomingMessage): URL => URL.canParse(request.url ?? '/', baseUrl)
+	? new URL(request.url ?? '/', baseUrl)
+	: new URL(baseUrl);
 
 /**
  * Starts the server.
@@ -85,13 +84,13 @@
 	};
 
 	const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		const url = parseUrl(request);
+		const {pathname, searchParams} = parseUrl(request);
 		if (request.method !== 'GET' && request.method !== 'HEAD') {
 			sendJson(response, 405, {problem: `method "${request.method}" is not answered here; use GET`});
 			return;
 		}
 
-		switch (url?.pathname ?? '') {
+		switch (pathname) {
 			case '/health': {
 				sendJson(response, 200, {status: 'running'});
 				return;
@@ -116,12 +115,12 @@
 			}
 
 			case '/explain': {
-				sendExplanation(url.searchParams, response);
+				sendExplanation(searchParams, response);
 				return;
 			}
 
 			default: {
-				sendJson(response, 404, {problem: `path "${url?.pathname ?? request.url}" is unknown; use one of ${paths.join(', ')}`});
+				sendJson(response, 404, {problem: `path "${pathname}" is unknown; use one of ${paths.join(', ')}`});
 			}
 		}
 	};
