--- a/packages/orders/src/__tests__/retention.test.ts
+++ b/packages/orders/src/__tests__/retention.test.ts
@@ -6,8 +6,6 @@
 
 const retentionMs = 1000;
 
-const noPause = async () => undefined;
-
 const setUp = async (count: number) => {
 	const platform = createMemoryPlatform();
 	const rowAt = (claimedAt: number): OrderRow => ({
@@ -21,7 +19,7 @@
 	platform.state.transact({checks: [], writes: [{key: 'lease', value: 'me'}]});
 	const lease = platform.state.read('lease')!;
 	const options = {
-		table: platform.table, objects: platform.objects, log: silentLogger, retentionMs, fence: () => ({key: 'lease', revision: lease.revision}), pause: noPause,
+		table: platform.table, objects: platform.objects, log: silentLogger, retentionMs, fence: () => ({key: 'lease', revision: lease.revision}), pause: async () => undefined,
 	};
 	return {platform, options};
 };
