Demo: a deployment under load while a zone is drained and an entry replaced

Cause: the path had no command that shows it. Change: npm run demo starts platform, upstreams and 8 entries, applies the intent, sends mixed load, drains an availability zone and replaces an entry, and sets callers' records against ledgers.

--- /dev/null
+++ b/packages/harness/src/demo.ts
@@ -0,0 +1,162 @@
+#!/usr/bin/env node
+/**
+ * `npm run demo`: a whole deployment on loopback under load, while an availability zone is drained
+ * and an entry is stopped and replaced. The promises are checked at the upstreams' own ledgers.
+ */
+import process from 'node:process';
+import {checkPromises, type PromiseCheck} from '@filbertwell/load/checkPromises';
+import {defaultLoadPlan} from '@filbertwell/load/loadPlan';
+import {runLoad, type LoadResult} from '@filbertwell/load/runLoad';
+import type {Intent} from '@filbertwell/types/intent';
+import {waitUnlessAborted} from '@filbertwell/utils/periodic';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {deploymentNames, deploymentShape, type DeploymentName} from './deploymentShape.js';
+import {readLedger, zoneStarts} from './ledgers.js';
+import {startDeployment, type Deployment} from './startDeployment.js';
+import {waitUntil} from './waitUntil.js';
+
+type DemoOptions = {
+	readonly deployment: DeploymentName;
+	readonly seconds: number;
+	readonly requestsPerSecond: number;
+	readonly seed: number;
+};
+
+type FaultFigures = {
+	readonly inForceSeconds: number;
+	readonly drainSeconds: number;
+};
+
+/** Share of traffic that may move in a minute; high, so that a drain fits into a demo. */
+const demoSharePerMinute = 6;
+const lookupLifetimeSeconds = 2;
+const inForceLimitMs = 9000;
+const entryGraceMs = 20_000;
+const drainCheckMs = 250;
+/** Seconds without a new request after which a zone counts as drained. */
+const quietMs = 1000;
+const millisecondsPerSecond = 1000;
+
+const adaptIntent = (intent: Intent): Intent => ({
+	...intent,
+	shiftCaps: {plannedSharePerMinute: demoSharePerMinute, failoverSharePerMinute: demoSharePerMinute},
+	lookups: {...intent.lookups, lifetimeSeconds: lookupLifetimeSeconds},
+});
+
+const parseOptions = async (): Promise<DemoOptions> => yargs(hideBin(process.argv))
+	.scriptName('npm run demo --')
+	.option('deployment', {choices: deploymentNames, default: 'rodalar' as const, describe: 'Shape of the deployment'})
+	.option('seconds', {type: 'number', default: 20, describe: 'Length of the load'})
+	.option('requests-per-second', {type: 'number', default: 400, describe: 'Rate of the load'})
+	.option('seed', {type: 'number', default: 1, describe: 'Seed of load and service times'})
+	.strict()
+	.parseAsync();
+
+const progress = (line: string): void => {
+	console.log(`${(process.uptime()).toFixed(1).padStart(6)} s  ${line}`);
+};
+
+/** Waits until the zone's upstreams have had no new request for a while. */
+const waitUntilDrained = async (deployment: Deployment, zone: string, limitMs: number): Promise<number> => {
+	const startedAt = performance.now();
+	let starts = await zoneStarts(deployment, zone);
+	let changedAt = startedAt;
+	await waitUntil(async () => {
+		const next = await zoneStarts(deployment, zone);
+		if (next !== starts) {
+			starts = next;
+			changedAt = performance.now();
+		}
+
+		await waitUnlessAborted(drainCheckMs, new AbortController().signal);
+		return performance.now() - changedAt > quietMs;
+	}, limitMs);
+	return (changedAt - startedAt) / millisecondsPerSecond;
+};
+
+const drainZone = async (deployment: Deployment, limitMs: number): Promise<FaultFigures> => {
+	const intent = deployment.intent();
+	const zone = intent.regions.at(-1)!.availabilityZones.at(-1)!;
+	progress(`draining availability zone ${zone}`);
+	const version = await deployment.apply({
+		...intent,
+		drains: [...intent.drains, {
+			target: 'availabilityZone', name: zone, pace: 'capped', reason: 'demo',
+		}],
+	});
+	const acceptedAt = performance.now();
+	const inForce = await deployment.waitInForce(version, inForceLimitMs);
+	const inForceSeconds = inForce ? (performance.now() - acceptedAt) / millisecondsPerSecond : Number.POSITIVE_INFINITY;
+	progress(`version ${version} is in force everywhere`);
+	const drainSeconds = await waitUntilDrained(deployment, zone, limitMs);
+	progress(`availability zone ${zone} gets no more requests`);
+	return {inForceSeconds, drainSeconds};
+};
+
+const replaceEntry = async (deployment: Deployment): Promise<void> => {
+	const {id} = deployment.entries()[1]!.placement;
+	progress(`stopping entry ${id}`);
+	const stopped = deployment.stopEntry(id, entryGraceMs);
+	const replacement = await deployment.replaceEntry(id);
+	progress(`entry ${replacement.placement.id} takes its place`);
+	await stopped;
+	progress(`entry ${id} has ended`);
+};
+
+const printTable = ({requests, outcomes, latencies}: LoadResult, check: PromiseCheck, faults: FaultFigures): void => {
+	const {examples, ...counts} = check;
+	console.table({requests, ...outcomes});
+	console.table(Object.fromEntries(Object.entries(latencies).map(([name, {count, p50Ms, p99Ms, maximumMs}]) => [name, {
+		count, p50Ms, p99Ms, maximumMs,
+	}])));
+	console.table({...counts, ...faults});
+	for (const example of examples) {
+		console.log(example);
+	}
+};
+
+const isKept = (check: PromiseCheck, faults: FaultFigures): boolean => check.lost + check.doubled + check.cutOff + check.notRunButRan + check.foreign === 0
+	&& faults.inForceSeconds <= inForceLimitMs / millisecondsPerSecond;
+
+const runDemo = async (options: DemoOptions): Promise<boolean> => {
+	progress(`starting ${options.deployment}: platform, upstreams and 8 entries`);
+	const deployment = await startDeployment({
+		name: options.deployment, seed: options.seed, adapt: adaptIntent, entrySettings: ['[stop]', 'drainMarginMs = 1000'],
+	});
+	try {
+		progress(`ready; sending ${options.requestsPerSecond} requests a second for ${options.seconds} s`);
+		const durationMs = options.seconds * millisecondsPerSecond;
+		const loading = runLoad({
+			...defaultLoadPlan,
+			entries: deployment.entries().map(entry => entry.placement.callers),
+			routes: deploymentShape(options.deployment).routes,
+			requestsPerSecond: options.requestsPerSecond,
+			durationMs,
+			callerAddress: caller => `127.${caller % 8}.0.1`,
+			seed: options.seed,
+		});
+		await waitUnlessAborted(durationMs / 10, new AbortController().signal);
+		const [faults] = await Promise.all([drainZone(deployment, durationMs * 0.7), replaceEntry(deployment)]);
+		const result = await loading;
+		const check = checkPromises(result.records, await readLedger(deployment));
+		printTable(result, check, faults);
+		const reads = result.latencies.interactive;
+		console.log(JSON.stringify({
+			requests: result.requests,
+			lost: check.lost,
+			doubled: check.doubled,
+			cutOff: check.cutOff,
+			notRunButRan: check.notRunButRan,
+			inForceSeconds: Number(faults.inForceSeconds.toFixed(2)),
+			drainSeconds: Number(faults.drainSeconds.toFixed(2)),
+			p50Ms: reads?.p50Ms,
+			p99Ms: reads?.p99Ms,
+		}));
+		return isKept(check, faults);
+	} finally {
+		await deployment.stop();
+	}
+};
+
+process.exitCode = await runDemo(await parseOptions()) ? 0 : 1;
