--- a/packages/orders/src/__tests__/createOrders.test.ts
+++ b/packages/orders/src/__tests__/createOrders.test.ts
@@ -30,7 +30,7 @@
 
 const answered: DispatchOutcome = {kind: 'answered', answer};
 
-const createUpstream = (outcome = answered) => {
+const createUpstream = (outcome: DispatchOutcome = answered) => {
 	let runs = 0;
 	return {
 		runs: () => runs,
--- a/packages/orders/src/__tests__/retention.test.ts
+++ b/packages/orders/src/__tests__/retention.test.ts
@@ -19,7 +19,7 @@
 	platform.state.transact({checks: [], writes: [{key: 'lease', value: 'me'}]});
 	const lease = platform.state.read('lease')!;
 	const options = {
-		table: platform.table, objects: platform.objects, log: silentLogger, retentionMs, fence: () => ({key: 'lease', revision: lease.revision}), async pause() {},
+		table: platform.table, objects: platform.objects, log: silentLogger, retentionMs, fence: () => ({key: 'lease', revision: lease.revision}), pause: async () => undefined,
 	};
 	return {platform, options};
 };
