--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -33,8 +33,8 @@
 const suggestion = (name: string, known: readonly string[], noun: string) =>
 	`remove it, or use the nearest known ${noun} "${nearestName(name, known)}" (known: ${known.join(', ')})`;
 
-/** The `ini` library turns `true`, `false` and `null` into values of their own; as settings they are text. */
-const rawText = (value: unknown) => typeof value === 'string' ? value : String(value);
+/** The `ini` library makes values and objects of some texts, as `true` and `[a.b]`; as settings they are text. */
+const rawText = (value: unknown) => typeof value === 'string' ? value : JSON.stringify(value);
 
 const unknownSections = (raw: RawSection, schema: SettingsSchema): ErrorDetails[] => Object.entries(raw)
 	.filter(([name, value]) => !isRawSection(value) || !Object.hasOwn(schema, name))
@@ -43,7 +43,12 @@
 			kind: 'unknownSection', section: name, key: '', value: '', problem: 'unknown section', fix: suggestion(name, Object.keys(schema), 'section'),
 		}
 		: {
-			kind: 'unknownKey', section: '', key: name, value: rawText(value), problem: 'key outside all sections', fix: 'move it below the section that it belongs to',
+			kind: 'unknownKey',
+			section: '',
+			key: name,
+			value: rawText(value),
+			problem: 'key outside all sections',
+			fix: 'move it below the section that it belongs to',
 		});
 
 const unknownKeys = (name: string, raw: RawSection, section: SettingsSection): ErrorDetails[] => Object.entries(raw)
--- a/packages/settings/src/settingsError.ts
+++ b/packages/settings/src/settingsError.ts
@@ -26,8 +26,9 @@
  * @returns One line: file, section, key, value, problem and fix.
  */
 export const formatSettingsError = ({file, section, key, value, problem, fix}: SettingsError): string => {
-	const sectionPart = section === '' ? '' : ` [${section}]`;
-	const keyPart = key === '' ? '' : ` ${key}`;
-	const valuePart = value === '' ? '' : ` = ${JSON.stringify(value)}`;
-	return `${file}:${sectionPart}${keyPart}${valuePart}: ${problem}; ${fix}`;
+	const sectionPart = section === '' ? [] : [`[${section}]`];
+	const keyPart = key === '' ? [] : [key];
+	const valuePart = value === '' ? [] : ['=', JSON.stringify(value)];
+	const place = [...sectionPart, ...keyPart, ...valuePart].join(' ');
+	return [file, ...(place === '' ? [] : [place]), `${problem}; ${fix}`].join(': ');
 };
