--- a/packages/intent/src/checkIntent.ts
+++ b/packages/intent/src/checkIntent.ts
@@ -4,6 +4,7 @@
 import type {Intent} from '@filbertwell/types/intent';
 import {err, ok, type Result} from 'neverthrow';
 import type {z} from 'zod';
+import {checkCapacity} from './checks/checkCapacity.js';
 import {checkDrains} from './checks/checkDrains.js';
 import {checkLookups} from './checks/checkLookups.js';
 import {checkPlaces} from './checks/checkPlaces.js';
@@ -49,7 +50,8 @@
  * Checks a value as an intent.
  *
  * @param value - Any value, usually parsed JSON.
- * @returns The intent, or all problems that were found. Relations are checked once the form is right.
+ * @returns The intent, or all problems that were found. Relations are checked once the
+ * form is right, sums once the names are.
  */
 export const checkIntent = (value: unknown): Result<Intent, IntentProblem[]> => {
 	const parsed = intentSchema.safeParse(value);
@@ -65,7 +67,9 @@
 		...checkShares(intent),
 		...checkLookups(intent),
 	];
-	return problems.length === 0 ? ok(intent) : err(problems);
+	// Sums over names that do not exist would only repeat those problems in other words.
+	const allProblems = problems.length === 0 ? checkCapacity(intent) : problems;
+	return allProblems.length === 0 ? ok(intent) : err(allProblems);
 };
 
 /**
