--- a/packages/cli/src/commands/applyCommand.ts
+++ b/packages/cli/src/commands/applyCommand.ts
@@ -3,16 +3,17 @@
  */
 import {diffIntent} from '@filbertwell/intent/diffIntent';
 import type {Intent} from '@filbertwell/types/intent';
-import {err} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import type {CommandModule} from 'yargs';
 import {withChangeOptions} from '../changeOptions.js';
 import type {CommandContext, GlobalOptions} from '../commandContext.js';
-import {failed, type CommandOutcome} from '../commandFailure.js';
+import {failed, type CommandFailure} from '../commandFailure.js';
 import {formatChanges} from '../formatChanges.js';
 import {readAccepted} from '../readAccepted.js';
+import {intentPositional} from '../intentPositional.js';
 import {readIntentFile} from '../readIntentFile.js';
 import {runCommand} from '../runCommand.js';
-import {submitChange, type ChangeOptions} from '../submitChange.js';
+import {submitChange, type Change, type ChangeOptions} from '../submitChange.js';
 
 type Options = GlobalOptions & ChangeOptions & {
 	readonly intent: string;
@@ -23,8 +24,8 @@
 const removedMoves = (before: Intent, after: Intent) => diffIntent(before, after)
 	.filter(({kind, path}) => kind === 'removed' && (path.startsWith('drains.') || path.startsWith('shifts.')));
 
-const apply = async (context: CommandContext, options: Options): Promise<CommandOutcome> => {
-	const intent = await readIntentFile(options.intent);
+const makeChange = async (context: CommandContext, {intent: path, removeDrains}: Options): Promise<Result<Change, CommandFailure>> => {
+	const intent = await readIntentFile(path);
 	if (intent.isErr()) {
 		return err(intent.error);
 	}
@@ -35,16 +36,14 @@
 	}
 
 	const removed = base.value === undefined ? [] : removedMoves(base.value.intent, intent.value);
-	if (removed.length > 0 && !options.removeDrains) {
-		return failed(
+	return removed.length === 0 || removeDrains
+		? ok({base: base.value, intent: intent.value})
+		: failed(
 			'conflict',
-			`intent ${options.intent} would remove drains or shifts that are accepted; add them to the intent, end them with undrain or shift, or pass --remove-drains`,
+			`intent ${path} would remove drains or shifts that are accepted; add them to the intent, end them with undrain or shift, or pass --remove-drains`,
 			formatChanges(removed, context.palette),
 			{changes: removed},
 		);
-	}
-
-	return submitChange(context, {base: base.value, intent: intent.value, options});
 };
 
 /** The command `apply`. */
@@ -52,12 +51,12 @@
 	command: 'apply <intent>',
 	describe: 'Make an intent file the accepted configuration',
 	builder: command => withChangeOptions(command)
-		.positional('intent', {type: 'string', demandOption: true, describe: 'JSON file, or - for standard input'})
+		.positional('intent', intentPositional)
 		.option('remove-drains', {type: 'boolean', default: false, describe: 'Allow that accepted drains and shifts that are not in the file end'})
 		.example('$0 apply intent.json --wait', 'Apply and wait until it is in force everywhere')
 		.example('$0 apply intent.json --expect 7', 'Apply only if version 7 is still the accepted one')
 		.example('$0 apply intent.json --dry-run', 'Check and show the changes only') as never,
 	async handler(options) {
-		await runCommand(options, async context => apply(context, options));
+		await runCommand(options, async context => submitChange(context, options, async () => makeChange(context, options)));
 	},
 };
--- a/packages/cli/src/commands/checkCommand.ts
+++ b/packages/cli/src/commands/checkCommand.ts
@@ -5,6 +5,7 @@
 import type {CommandModule} from 'yargs';
 import type {GlobalOptions} from '../commandContext.js';
 import type {CommandOutcome} from '../commandFailure.js';
+import {intentPositional} from '../intentPositional.js';
 import {readIntentFile} from '../readIntentFile.js';
 import {runLocalCommand} from '../runCommand.js';
 
@@ -39,7 +40,7 @@
 	command: 'check <intent>',
 	describe: 'Check an intent file; asks neither the platform nor entries',
 	builder: command => command
-		.positional('intent', {type: 'string', demandOption: true, describe: 'JSON file, or - for standard input'})
+		.positional('intent', intentPositional)
 		.example('$0 check intent.json', 'Check a file')
 		.example('node examples/rodalar/lib/rodalar.js | $0 check -', 'Check what a program prints'),
 	async handler(options) {
--- a/packages/cli/src/commands/diffCommand.ts
+++ b/packages/cli/src/commands/diffCommand.ts
@@ -8,6 +8,7 @@
 import type {CommandOutcome} from '../commandFailure.js';
 import {formatChanges} from '../formatChanges.js';
 import {readAccepted} from '../readAccepted.js';
+import {intentPositional} from '../intentPositional.js';
 import {readIntentFile} from '../readIntentFile.js';
 import {runCommand} from '../runCommand.js';
 
@@ -41,7 +42,7 @@
 	command: 'diff <intent>',
 	describe: 'Show what an intent file would change',
 	builder: command => command
-		.positional('intent', {type: 'string', demandOption: true, describe: 'JSON file, or - for standard input'})
+		.positional('intent', intentPositional)
 		.example('$0 diff intent.json', 'Compare a file with the accepted configuration'),
 	async handler(options) {
 		await runCommand(options, async context => diff(context, options.intent));
--- a/packages/cli/src/commands/rollbackCommand.ts
+++ b/packages/cli/src/commands/rollbackCommand.ts
@@ -1,7 +1,6 @@
 /**
  * `filbertwell rollback`: accepts the intent of an earlier version as a new version.
  */
-import {err} from 'neverthrow';
 import type {CommandModule} from 'yargs';
 import {withChangeOptions} from '../changeOptions.js';
 import type {CommandContext, GlobalOptions} from '../commandContext.js';
@@ -14,16 +13,10 @@
 	readonly version: number;
 };
 
-const rollback = async (context: CommandContext, options: Options): Promise<CommandOutcome> => {
+const rollback = async (context: CommandContext, options: Options): Promise<CommandOutcome> => submitChange(context, options, async () => {
 	const [base, earlier] = await Promise.all([requireAccepted(context), requireAccepted(context, options.version)]);
-	if (base.isErr()) {
-		return err(base.error);
-	}
-
-	return earlier.isOk()
-		? submitChange(context, {base: base.value, intent: earlier.value.intent, options})
-		: err(earlier.error);
-};
+	return base.andThen(accepted => earlier.map(({intent}) => ({base: accepted, intent})));
+});
 
 /** The command `rollback`. */
 export const rollbackCommand: CommandModule<GlobalOptions, Options> = {
--- a/packages/cli/src/editAccepted.ts
+++ b/packages/cli/src/editAccepted.ts
@@ -2,7 +2,7 @@
  * Edits the accepted intent and submits the result.
  */
 import type {Intent} from '@filbertwell/types/intent';
-import {err, type Result} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import type {CommandContext} from './commandContext.js';
 import type {CommandFailure, CommandOutcome} from './commandFailure.js';
 import {requireAccepted} from './readAccepted.js';
@@ -19,14 +19,7 @@
  * @param edit - The edit.
  * @returns What became of it.
  */
-export const editAccepted = async (context: CommandContext, options: ChangeOptions, edit: IntentEdit): Promise<CommandOutcome> => {
+export const editAccepted = async (context: CommandContext, options: ChangeOptions, edit: IntentEdit): Promise<CommandOutcome> => submitChange(context, options, async () => {
 	const base = await requireAccepted(context);
-	if (base.isErr()) {
-		return err(base.error);
-	}
-
-	const intent = edit(base.value.intent);
-	return intent.isOk()
-		? submitChange(context, {base: base.value, intent: intent.value, options})
-		: err(intent.error);
-};
+	return base.andThen(accepted => edit(accepted.intent).map(intent => ({base: accepted, intent})));
+});
--- /dev/null
+++ b/packages/cli/src/intentPositional.ts
@@ -0,0 +1,12 @@
+/**
+ * The positional argument that names an intent file.
+ */
+import process from 'node:process';
+
+/** The parser gives `-` as an empty text. */
+const restoreDash = (path: string): string => path === '' && process.argv.includes('-') ? '-' : path;
+
+/** Options of the positional argument `intent`. */
+export const intentPositional = {
+	type: 'string', demandOption: true, describe: 'JSON file, or - for standard input', coerce: restoreDash,
+} as const;
--- a/packages/cli/src/submitChange.ts
+++ b/packages/cli/src/submitChange.ts
@@ -3,6 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {acceptConfiguration, type AcceptanceError} from '@filbertwell/configuration/acceptConfiguration';
+import type {Head} from '@filbertwell/configuration/head';
 import {readHistory} from '@filbertwell/configuration/readConfiguration';
 import {checkIntent} from '@filbertwell/intent/checkIntent';
 import {diffIntent, type IntentChange} from '@filbertwell/intent/diffIntent';
@@ -33,12 +34,14 @@
 
 /** A change to submit. */
 export type Change = {
-	/** What the intent was before; `undefined` where none is accepted. */
+	/** What was accepted before; `undefined` where nothing was. */
 	readonly base: Configuration | undefined;
 	readonly intent: Intent;
-	readonly options: ChangeOptions;
 };
 
+/** Makes the change; not called where an earlier run with the same change id was accepted. */
+export type ChangeMaker = () => Promise<Result<Change, CommandFailure>>;
+
 type Accepted = {
 	readonly version: number;
 	readonly changeId: string;
@@ -91,34 +94,30 @@
 	}
 };
 
+const firstChange = (intent: Intent): IntentChange[] => [{
+	kind: 'added', path: `deployment ${intent.deployment}`, before: undefined, after: {services: intent.services.length, regions: intent.regions.length},
+}];
+
 /** Finds the version that an earlier run with the same change id made. */
-const findEarlierRun = async (context: CommandContext, changeId: string | undefined): Promise<Result<number | undefined, CommandFailure>> => {
+const findEarlierRun = async (context: CommandContext, changeId: string | undefined): Promise<Result<Head | undefined, CommandFailure>> => {
 	if (changeId === undefined) {
 		return ok(undefined);
 	}
 
 	const history = await readHistory(context.platform, historyLimit);
 	return history.isOk()
-		? ok(history.value.find(head => head.changeId === changeId)?.version)
+		? ok(history.value.find(head => head.changeId === changeId))
 		: platformFailure(context, history.error);
 };
 
-const accept = async (context: CommandContext, {base, intent, options}: Change, changes: readonly IntentChange[]): Promise<Result<Accepted, CommandFailure>> => {
-	const earlier = await findEarlierRun(context, options.changeId);
-	if (earlier.isErr()) {
-		return err(earlier.error);
-	}
-
-	const changeId = options.changeId ?? randomUUID();
-	if (earlier.value !== undefined) {
-		return ok({version: earlier.value, changeId, changes: []});
-	}
-
+const accept = async (context: CommandContext, {base, intent}: Change, options: ChangeOptions): Promise<Result<Accepted, CommandFailure>> => {
+	const changes = base === undefined ? firstChange(intent) : diffIntent(base.intent, intent);
 	const expectedVersion = options.expect ?? base?.version ?? 0;
 	if (base?.version === expectedVersion && changes.length === 0) {
 		return ok({version: expectedVersion, changeId: base.changeId, changes});
 	}
 
+	const changeId = options.changeId ?? randomUUID();
 	const acceptance = await acceptConfiguration({
 		platform: context.platform, intent, expectedVersion, changeId, author: context.author, acceptedAt: new Date().toISOString(),
 	});
@@ -154,30 +153,40 @@
 		: failed('lagging', `accepted as version ${version}, but not in force everywhere within ${timeout} s; see the lagging instances, the change stays accepted`, described.split('\n'), data);
 };
 
-/**
- * Submits a change.
- *
- * @param context - Context of the command.
- * @param change - The intent before and after, and the options.
- * @returns What became of it.
- */
-export const submitChange = async (context: CommandContext, change: Change): Promise<CommandOutcome> => {
+const submit = async (context: CommandContext, change: Change, options: ChangeOptions): Promise<CommandOutcome> => {
 	const checked = checkIntent(change.intent);
 	if (checked.isErr()) {
 		const details = checked.error.map(problem => formatIntentProblem(problem));
 		return failed('invalidInput', 'the change would leave an intent that is not usable, see each problem below; nothing was changed', details, checked.error);
 	}
 
-	const {base, intent, options} = change;
-	const changes: readonly IntentChange[] = base === undefined
-		? [{
-			kind: 'added', path: `deployment ${intent.deployment}`, before: undefined, after: {services: intent.services.length, regions: intent.regions.length},
-		}]
-		: diffIntent(base.intent, intent);
 	if (options.dryRun) {
+		const changes = change.base === undefined ? firstChange(change.intent) : diffIntent(change.base.intent, change.intent);
 		return ok({text: [...formatChanges(changes, context.palette), 'dry run: nothing was changed'].join('\n'), data: {changes}});
 	}
 
-	const accepted = await accept(context, change, changes);
+	const accepted = await accept(context, change, options);
 	return accepted.isOk() ? report(context, accepted.value, options) : err(accepted.error);
 };
+
+/**
+ * Submits a change, once for each change id.
+ *
+ * @param context - Context of the command.
+ * @param options - Options of the change.
+ * @param makeChange - Makes the intent after from the accepted one.
+ * @returns What became of it.
+ */
+export const submitChange = async (context: CommandContext, options: ChangeOptions, makeChange: ChangeMaker): Promise<CommandOutcome> => {
+	const earlier = await findEarlierRun(context, options.changeId);
+	if (earlier.isErr()) {
+		return err(earlier.error);
+	}
+
+	if (earlier.value !== undefined) {
+		return report(context, {version: earlier.value.version, changeId: earlier.value.changeId, changes: []}, options);
+	}
+
+	const change = await makeChange();
+	return change.isOk() ? submit(context, change.value, options) : err(change.error);
+};
