--- a/packages/intent/src/intentProblem.ts
+++ b/packages/intent/src/intentProblem.ts
@@ -12,7 +12,7 @@
 	readonly fix: string;
 };
 
-const maximumValueLength = 80;
+const maximumValueLength = 120;
 
 /**
  * Shortens a value for a message.
