--- a/packages/utils/src/nearestName.ts
+++ b/packages/utils/src/nearestName.ts
@@ -19,20 +19,25 @@
 };
 
 const maximumNameLength = 64;
+/** Distance of a name that begins with the unknown one: as near as one slip of the keyboard. */
+const shortenedDistance = 1;
 
 /**
  * Finds the known name that is closest to an unknown one.
  *
  * @param name - The unknown name; only its first 64 characters count.
- * @param known - Names to choose from.
- * @returns The closest, or `undefined` where none is known.
+ * @param candidates - Names to choose from.
+ * @returns The closest, or `undefined` where there is none.
  */
-export const nearestName = (name: string, known: readonly string[]): string | undefined => {
+export const nearestName = (name: string, candidates: readonly string[]): string | undefined => {
 	const wanted = name.slice(0, maximumNameLength).toLowerCase();
 	let nearest: string | undefined;
 	let nearestDistance = Number.POSITIVE_INFINITY;
-	for (const candidate of known) {
-		const distance = editDistance(wanted, candidate.toLowerCase());
+	for (const candidate of candidates) {
+		const known = candidate.toLowerCase();
+		const isShortened = wanted !== '' && known.startsWith(wanted);
+		const edits = editDistance(wanted, known);
+		const distance = isShortened ? Math.min(edits, shortenedDistance) : edits;
 		if (distance < nearestDistance) {
 			nearest = candidate;
 			nearestDistance = distance;
