--- a/packages/cli/src/__tests__/changes.test.ts
+++ b/packages/cli/src/__tests__/changes.test.ts
@@ -69,6 +69,21 @@
 	expect(await runJson(['apply', 'intent.json'])).toMatchObject({code: 0, data: {version: 1, changes: []}});
 });
 
+test('with --minimum-version the same intent gets a higher version', async () => {
+	await fixture.run(['apply', 'intent.json']);
+	expect(await runJson(['apply', 'intent.json', '--minimum-version', '7'])).toMatchObject({code: 0, data: {version: 8, changes: []}});
+});
+
+test('an accepted change is offered to the entries', async () => {
+	const asked: string[] = [];
+	fixture.setAdmin(path => {
+		asked.push(path);
+		return {status: 202, body: ''};
+	});
+	await fixture.run(['apply', 'intent.json']);
+	expect(asked).toEqual(['/configuration/offer']);
+});
+
 test('apply keeps accepted drains that its file does not know of, unless told otherwise', async () => {
 	await fixture.run(['apply', 'intent.json']);
 	await fixture.run(['drain', 'zone', 'south-a', '--reason', 'works']);
