--- a/packages/metrics/src/__tests__/createMetrics.test.ts
+++ b/packages/metrics/src/__tests__/createMetrics.test.ts
@@ -1,3 +1,4 @@
+import {createManualClock} from '@filbertwell/utils/clock';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {createMetrics} from '../createMetrics.js';
@@ -53,6 +54,24 @@
 	expect(Math.abs(metrics.latencies()[0]!.maximumMs - maximumMs)).toBeLessThan((maximumMs * 0.01) + 1);
 });
 
+test('quantiles are those of the last one to two minutes; count and sum go on', async () => {
+	const clock = createManualClock();
+	const metrics = createMetrics({maximumLabelSets: 2, clock: clock.now});
+	metrics.recordLatency(labels('a'), 1000);
+	clock.advance(59_000);
+	metrics.recordLatency(labels('a'), 10);
+	expect(metrics.latencies()[0]!.maximumMs).toBeGreaterThan(990);
+	clock.advance(61_000);
+	metrics.recordLatency(labels('a'), 10);
+	expect(metrics.latencies()[0]).toMatchObject({count: 3});
+	expect(metrics.latencies()[0]!.maximumMs).toBeLessThan(11);
+	clock.advance(600_000);
+	const text = await metrics.exposition();
+	expect(text).toContain('request_duration_seconds_count{service="orders",class="critical",tenant="a"} 3');
+	expect(text).toContain('request_duration_seconds_sum{service="orders",class="critical",tenant="a"} 1.02');
+	expect(text).toMatch(/quantile="0\.99"\} nan/iv);
+});
+
 test('counters add up by label set, bounded', async () => {
 	const metrics = createMetrics({maximumLabelSets: 2});
 	for (const reason of ['deadline', 'deadline', 'queue', 'third', 'fourth']) {
--- a/packages/metrics/src/createMetrics.ts
+++ b/packages/metrics/src/createMetrics.ts
@@ -1,24 +1,27 @@
 /**
  * Metrics on hdr-histograms, with their exposition by prom-client.
  */
-import {build, type Histogram} from 'hdr-histogram-js';
+import {setImmediate} from 'node:timers/promises';
+import {monotonicClock, type Clock} from '@filbertwell/utils/clock';
 import {
 	Counter, Gauge, Registry, Summary,
 } from 'prom-client';
 import type {
 	Labels, LatencyLabels, LatencySummary, Metrics,
 } from './metrics.js';
+import {createWindowedHistogram, type WindowedHistogram} from './windowedHistogram.js';
 
 /** Parameters of the metrics. */
 export type MetricsOptions = {
 	/** Most latency histograms, and most label sets of one counter. */
 	readonly maximumLabelSets: number;
+	/** Clock of the windows; the process's own if left out. */
+	readonly clock?: Clock | undefined;
 };
 
 type LatencySeries = {
 	readonly labels: LatencyLabels;
-	readonly histogram: Histogram;
-	sumSeconds: number;
+	readonly histogram: WindowedHistogram;
 };
 
 type CounterSeries = {
@@ -34,54 +37,43 @@
 const latencyName = `${namePrefix}request_duration_seconds`;
 const latencyHelp = 'Time from the arrival of a request to the end of its answer, in seconds';
 const quantiles = [0.5, 0.9, 0.95, 0.99, 0.999];
-const microsecondsPerMillisecond = 1000;
-const microsecondsPerSecond = 1_000_000;
-const maximumLatencyMicroseconds = 3_600_000_000;
-const significantDigits = 2;
+const millisecondsPerSecond = 1000;
+const windowMs = 60_000;
+/** Histograms that one turn of the event loop reads. */
+const seriesPerTurn = 20;
 
 const otherLabels: LatencyLabels = {service: otherLabel, requestClass: otherLabel, tenant: otherLabel};
 
 const latencyKey = ({service, requestClass, tenant}: LatencyLabels) => `${service}\n${requestClass}\n${tenant}`;
 
-const createHistogram = () => build({
-	lowestDiscernibleValue: 1,
-	highestTrackableValue: maximumLatencyMicroseconds,
-	numberOfSignificantValueDigits: significantDigits,
-	autoResize: true,
-	bitBucketSize: 32,
-	useWebAssembly: false,
-});
-
-/** Whole microseconds within the histogram's range; a value that is not a time counts as 0. */
-const toMicroseconds = (milliseconds: number) => {
-	const microseconds = Math.round(milliseconds * microsecondsPerMillisecond);
-	return microseconds > 0 ? Math.min(microseconds, maximumLatencyMicroseconds) : 0;
+const summarize = ({labels, histogram}: LatencySeries): LatencySummary => {
+	const {quantile, maximum} = histogram.recent();
+	return {
+		...labels,
+		count: histogram.count(),
+		p50Ms: quantile(0.5),
+		p95Ms: quantile(0.95),
+		p99Ms: quantile(0.99),
+		maximumMs: maximum,
+	};
 };
 
-const summarize = ({labels, histogram}: LatencySeries): LatencySummary => ({
-	...labels,
-	count: histogram.totalCount,
-	p50Ms: histogram.getValueAtPercentile(50) / microsecondsPerMillisecond,
-	p95Ms: histogram.getValueAtPercentile(95) / microsecondsPerMillisecond,
-	p99Ms: histogram.getValueAtPercentile(99) / microsecondsPerMillisecond,
-	maximumMs: histogram.maxValue / microsecondsPerMillisecond,
-});
-
-const latencyValues = ({labels, histogram, sumSeconds}: LatencySeries) => {
+const latencyValues = ({labels, histogram}: LatencySeries) => {
+	const recent = histogram.recent();
 	const names = {service: labels.service, class: labels.requestClass, tenant: labels.tenant};
 	return [
 		...quantiles.map(quantile => ({
 			labels: {...names, quantile},
-			value: histogram.getValueAtPercentile(quantile * 100) / microsecondsPerSecond,
+			value: recent.quantile(quantile) / millisecondsPerSecond,
 		})),
-		{metricName: `${latencyName}_sum`, labels: names, value: sumSeconds},
-		{metricName: `${latencyName}_count`, labels: names, value: histogram.totalCount},
+		{metricName: `${latencyName}_sum`, labels: names, value: histogram.sum() / millisecondsPerSecond},
+		{metricName: `${latencyName}_count`, labels: names, value: histogram.count()},
 	];
 };
 
 /**
- * A prom-client summary whose values come from the hdr-histograms. The histograms are over the
- * whole life of the process; rates come from the count and the sum.
+ * A prom-client summary whose quantiles come from the hdr-histograms of the last one to two
+ * minutes; count and sum are over the whole life of the process.
  */
 const registerLatencySummary = (registry: Registry, allSeries: ReadonlyMap<string, LatencySeries>) => {
 	const summary = new Summary({
@@ -92,10 +84,18 @@
 		registers: [registry],
 	});
 	const readEmpty = summary.get.bind(summary);
-	summary.get = async () => ({
-		...await readEmpty(),
-		values: [...allSeries.values()].flatMap(series => latencyValues(series)),
-	});
+	summary.get = async () => {
+		const values: ReturnType<typeof latencyValues> = [];
+		for (const [index, series] of [...allSeries.values()].entries()) {
+			values.push(...latencyValues(series));
+			if (index % seriesPerTurn === seriesPerTurn - 1) {
+				// Requests go on between two parts of a long exposition.
+				await setImmediate(); // eslint-disable-line no-await-in-loop
+			}
+		}
+
+		return {...await readEmpty(), values};
+	};
 };
 
 /**
@@ -104,7 +104,7 @@
  * @param options - Bound of the label sets.
  * @returns The metrics.
  */
-export const createMetrics = ({maximumLabelSets}: MetricsOptions): Metrics => {
+export const createMetrics = ({maximumLabelSets, clock = monotonicClock}: MetricsOptions): Metrics => {
 	const registry = new Registry();
 	const latencySeries = new Map<string, LatencySeries>();
 	const counters = new Map<string, CounterSeries>();
@@ -124,7 +124,7 @@
 		const key = latencyKey(bounded);
 		let series = latencySeries.get(key);
 		if (series === undefined) {
-			series = {labels: bounded, histogram: createHistogram(), sumSeconds: 0};
+			series = {labels: bounded, histogram: createWindowedHistogram(clock, windowMs)};
 			latencySeries.set(key, series);
 		}
 
@@ -149,10 +149,7 @@
 	registerLatencySummary(registry, latencySeries);
 	return {
 		recordLatency(labels, milliseconds) {
-			const series = seriesOf(labels);
-			const microseconds = toMicroseconds(milliseconds);
-			series.histogram.recordValue(microseconds);
-			series.sumSeconds += microseconds / microsecondsPerSecond;
+			seriesOf(labels).histogram.record(milliseconds);
 		},
 		increment(name, labels = {}, amount = 1) {
 			const {counter, labelNames, labelSets} = counterOf(name, labels);
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -12,7 +12,7 @@
 /** Labels of a counter or gauge. */
 export type Labels = Readonly<Record<string, string>>;
 
-/** Summary of one latency histogram. */
+/** Summary of one latency histogram: count since the start, the rest over the last one to two minutes. */
 export type LatencySummary = LatencyLabels & {
 	readonly count: number;
 	readonly p50Ms: number;
