--- /dev/null
+++ b/packages/membership/src/__tests__/exchangeFixture.ts
@@ -0,0 +1,131 @@
+/**
+ * A few heartbeat exchanges joined by a queue in memory whose deliveries a test may drop.
+ */
+import type {Heartbeat} from '@filbertwell/peer-protocol/heartbeat';
+import {silentLogger} from '@filbertwell/logger/logger';
+import type {Member} from '@filbertwell/types/member';
+import type {SocketAddress} from '@filbertwell/types/place';
+import {createManualClock} from '@filbertwell/utils/clock';
+import {createRandom} from '@filbertwell/utils/random';
+import {createHeartbeatExchange, type HeartbeatExchange} from '../heartbeatExchange.js';
+import {createMemberTable, type MemberTable} from '../memberTable.js';
+import {createSelfAnnouncement, type SelfAnnouncement} from '../selfAnnouncement.js';
+
+export type Node = {
+	readonly id: string;
+	readonly self: SelfAnnouncement;
+	readonly table: MemberTable;
+	readonly exchange: HeartbeatExchange;
+	readonly view: (id: string) => Member | undefined;
+	/** Whether another process took its id over. */
+	readonly isSuperseded: () => boolean;
+};
+
+type Message = {
+	readonly from: string;
+	readonly to: string;
+	readonly heartbeat: Heartbeat;
+};
+
+export const addressOf = (id: string): SocketAddress => ({host: id, port: 1});
+
+export const createWire = () => {
+	const clock = createManualClock();
+	const nodes = new Map<string, Node>();
+	const queue: Message[] = [];
+	let isLost: (from: string, to: string) => boolean = () => false;
+
+	const deliver = () => {
+		for (let message = queue.shift(); message !== undefined; message = queue.shift()) {
+			if (!isLost(message.from, message.to)) {
+				nodes.get(message.to)?.exchange.receive({from: addressOf(message.from), heartbeat: message.heartbeat});
+			}
+		}
+	};
+
+	const add = (id: string, incarnation = 1): Node => {
+		const self = createSelfAnnouncement({
+			identity: {
+				id,
+				role: 'entry',
+				region: 'south',
+				availabilityZone: 'south-a',
+				site: 's1',
+				callerAddress: addressOf(id),
+				peerAddress: addressOf(id),
+			},
+			firstIncarnation: incarnation,
+			clock: clock.now,
+			log: silentLogger,
+		});
+		const table = createMemberTable(clock.now);
+		let superseded = false;
+		const exchange = createHeartbeatExchange({
+			self,
+			table,
+			clock: clock.now,
+			random: createRandom(nodes.size + 1),
+			send(to, heartbeat) {
+				queue.push({from: id, to: to.host, heartbeat});
+			},
+			onUnknown(ids, from) {
+				const peer = nodes.get(from.host);
+				for (const unknown of ids) {
+					const known = peer?.table.get(unknown);
+					if (known !== undefined) {
+						exchange.learn({...known.member, sequence: known.sequence});
+					}
+				}
+			},
+			onAnswer(from) {
+				const peer = nodes.get(from.host);
+				if (peer !== undefined && table.known().size <= 1) {
+					for (const {member, sequence} of peer.table.known().values()) {
+						exchange.learn({...member, sequence});
+					}
+				}
+			},
+			onLearned: () => undefined,
+			onSuperseded() {
+				superseded = true;
+			},
+		});
+		const node: Node = {
+			id, self, table, exchange, isSuperseded: () => superseded, view: other => table.get(other)?.member,
+		};
+		nodes.set(id, node);
+		return node;
+	};
+
+	return {
+		clock,
+		nodes,
+		add,
+		/** Adds nodes that know each other. */
+		addAll(ids: readonly string[]): Node[] {
+			const added = ids.map(id => add(id));
+			for (const node of added) {
+				for (const other of added.filter(({id}) => id !== node.id)) {
+					node.exchange.learn(other.self.record());
+				}
+			}
+
+			return added;
+		},
+		deliver,
+		setLoss(predicate: typeof isLost) {
+			isLost = predicate;
+		},
+		/** Runs rounds of one second in which the given nodes take part. */
+		run(rounds: number, running: (node: Node) => boolean = () => true) {
+			for (let round = 0; round < rounds; round++) {
+				clock.advance(1000);
+				for (const node of [...nodes.values()].filter(candidate => running(candidate))) {
+					node.exchange.round([]);
+				}
+
+				deliver();
+			}
+		},
+	};
+};
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -84,6 +84,7 @@
 	});
 	const contacts = createContacts({seeds: options.seeds, self, table});
 	let rounds = 0;
+	let highestVersion = 0;
 	let emissionPending = false;
 
 	/** Emits once for all changes of one turn of the event loop. */
@@ -98,7 +99,7 @@
 
 	const logLearned = (id: string, learned: Learned) => {
 		const known = table.get(id);
-		if (known === undefined || learned === 'refreshed') {
+		if (known === undefined || learned === 'refreshed' || learned === 'updated') {
 			return;
 		}
 
@@ -109,6 +110,14 @@
 		});
 	};
 
+	/** A version that some member had before brings nothing to those who wait for a higher one. */
+	const isVisible = (id: string, learned: Learned): boolean => {
+		const version = table.get(id)?.member.configurationVersion ?? 0;
+		const isHighest = version > highestVersion;
+		highestVersion = Math.max(highestVersion, version);
+		return learned === 'joined' || learned === 'changed' || isHighest;
+	};
+
 	const records = (): readonly MemberRecord[] => view.members().map(member => member.id === self.member().id
 		? self.record()
 		: toRecord(table.get(member.id)!.member, table.get(member.id)!.sequence));
@@ -129,7 +138,7 @@
 		},
 		onLearned(id, learned) {
 			logLearned(id, learned);
-			if (learned !== 'refreshed') {
+			if (isVisible(id, learned)) {
 				void emit();
 			}
 		},
@@ -170,9 +179,13 @@
 	};
 
 	const compareWithPeer = () => {
-		const known = [...table.known().values()].filter(({member}) => member.health === 'alive');
-		const peer = known[Math.floor(random() * known.length)];
-		if (peer !== undefined && rounds % roundsBetweenComparisons === 0) {
+		if (rounds % roundsBetweenComparisons !== 0) {
+			return;
+		}
+
+		const alive = [...table.known().values()].filter(({member}) => member.health === 'alive');
+		const peer = alive[Math.floor(random() * alive.length)];
+		if (peer !== undefined) {
 			void fetch.comparePage(peer.member.peerAddress);
 		}
 	};
--- a/packages/membership/src/doubts.ts
+++ b/packages/membership/src/doubts.ts
@@ -13,8 +13,8 @@
 	readonly heard: (id: string) => void;
 	/** Notes that others heard the peer later than this process knew. */
 	readonly heardByOthers: (id: string) => void;
-	/** Starts to ask after a peer, as if one probe had been left unanswered. */
-	readonly raise: (id: string) => void;
+	/** Puts a peer in doubt as if one probe had been left unanswered; returns whether it was not yet. */
+	readonly raise: (id: string) => boolean;
 	/** Counts the probes of the last round that were left unanswered; returns the peers that became silent. */
 	readonly endRound: (silentAfterProbes: number) => readonly string[];
 	/** Peers in doubt that are probed again, longest in doubt first. */
@@ -63,9 +63,12 @@
 			}
 		},
 		raise(id) {
-			if (!doubts.has(id)) {
-				doubts.set(id, {unanswered: 1, relayed: 0});
+			if (doubts.has(id)) {
+				return false;
 			}
+
+			doubts.set(id, {unanswered: 1, relayed: 0});
+			return true;
 		},
 		endRound(silentAfterProbes) {
 			const silent: string[] = [];
--- a/packages/membership/src/heartbeatExchange.ts
+++ b/packages/membership/src/heartbeatExchange.ts
@@ -25,7 +25,7 @@
 	readonly receive: (received: ReceivedHeartbeat) => void;
 	/** Tells peers of a change of this process at once. */
 	readonly announce: () => void;
-	/** Takes in a record that came another way. */
+	/** Takes in a record that was asked for; it isn't passed on. */
 	readonly learn: (record: MemberRecord) => Learned;
 	readonly forget: (id: string) => void;
 	/** Rounds since any peer was heard. */
@@ -49,7 +49,10 @@
 };
 
 const sampledBeats = 1;
-const newsPerMessage = 4;
+/** With the sender's own beat, so many items fit into a datagram; a record takes the room of several beats. */
+const beatsPerMessage = 8;
+const recordsPerMessage = 2;
+const beatsPerRecord = 3;
 const reprobesPerRound = 3;
 const ownNewsTargets = 8;
 const relayTargets = 4;
@@ -58,6 +61,10 @@
 const newsMessagesPerSecond = 8;
 const newsMessagesBurst = 64;
 const unheardInMessage = 3;
+const helperCandidates = 4;
+
+/** A version alone isn't passed on: each member tells its own, and all have a new one at about the same time. */
+const isNews = (learned: Learned): boolean => learned === 'joined' || learned === 'changed';
 
 /** Messages that a change goes into after its first spread: enough to reach the last members. */
 const messagesPerChange = (members: number): number => Math.ceil(Math.log2(members + 2)) + 2;
@@ -71,14 +78,15 @@
 export const createHeartbeatExchange = (options: HeartbeatExchangeOptions): HeartbeatExchange => {
 	const {self, table, send, clock, random} = options;
 	const doubts = createDoubts();
-	const news = createNewsQueue();
+	const joins = createNewsQueue();
+	const changes = createNewsQueue();
 	const ring = createTargetRing(random);
 	const newsBudget = createTokenBucket(clock, {tokensPerSecond: newsMessagesPerSecond, burst: newsMessagesBurst});
-	const joinedNews = new Set<string>();
 	const introduced = new Set<string>();
 	let introducedIncarnation = self.member().incarnation;
 	let roundsUnheard = 0;
 	let sampleAt = 0;
+	let helper: string | undefined;
 	let superseded = false;
 
 	const isIntroduced = (id: string | undefined): boolean => {
@@ -109,22 +117,16 @@
 		return known === undefined ? [] : [toBeat(known)];
 	});
 
-	const newsItems = () => {
-		const ids = news.take(newsPerMessage);
-		const records = ids
-			.filter(id => joinedNews.has(id))
-			.flatMap(id => {
-				const known = table.get(id);
-				return known === undefined ? [] : [toRecord(known.member, known.sequence)];
-			})
-			.slice(0, 2);
-		return {records, beats: beatsOf(ids.filter(id => !joinedNews.has(id)))};
-	};
+	const recordsOf = (ids: readonly string[]): MemberRecord[] => ids.flatMap(id => {
+		const known = table.get(id);
+		return known === undefined ? [] : [toRecord(known.member, known.sequence)];
+	});
 
 	const compose = (kind: HeartbeatKind, to: string | undefined, asked: readonly string[]): Heartbeat => {
-		const items = newsItems();
-		const records = isIntroduced(to) ? items.records : [self.record(), ...items.records].slice(0, 2);
-		const beats = [...beatsOf(asked), ...items.beats, ...(kind === 'news' ? [] : sampleBeats(to))];
+		const own = isIntroduced(to) ? [] : [self.record()];
+		const records = [...own, ...recordsOf(joins.take(recordsPerMessage - own.length))];
+		const changed = changes.take(beatsPerMessage - asked.length - (records.length * beatsPerRecord));
+		const beats = [...beatsOf([...asked, ...changed]), ...(kind === 'news' ? [] : sampleBeats(to))];
 		const unheard = doubts.doubted().filter(id => id !== to).slice(0, unheardInMessage);
 		return fitHeartbeat({
 			kind,
@@ -153,13 +155,12 @@
 	};
 
 	const passOn = (id: string, learned: Learned) => {
+		const messages = messagesPerChange(table.known().size);
 		if (learned === 'joined') {
-			joinedNews.add(id);
+			joins.add(id, messages);
 		} else {
-			joinedNews.delete(id);
+			changes.add(id, messages);
 		}
-
-		news.add(id, messagesPerChange(table.known().size) + relayTargets);
 	};
 
 	const hearOfSelf = (beat: MemberBeat) => {
@@ -186,14 +187,10 @@
 			doubts.raise(statement.id);
 		}
 
-		if (learned === 'refreshed' || learned === 'changed') {
+		if (learned === 'refreshed' || learned === 'updated' || learned === 'changed') {
 			doubts.heardByOthers(statement.id);
 		}
 
-		if (learned === 'changed' || learned === 'joined') {
-			passOn(statement.id, learned);
-		}
-
 		if (learned !== 'stale' && learned !== 'unknown') {
 			options.onLearned(statement.id, learned);
 		}
@@ -204,12 +201,17 @@
 	const learnAll = (heartbeat: Heartbeat, from: SocketAddress) => {
 		const statements = [...(heartbeat.records ?? []), heartbeat.sender, ...(heartbeat.beats ?? [])];
 		const outcomes = statements.map(statement => ({id: statement.id, learned: learn(statement)}));
+		const newsworthy = outcomes.filter(({learned}) => isNews(learned));
+		for (const {id, learned} of newsworthy) {
+			passOn(id, learned);
+		}
+
 		const unknown = outcomes.filter(({learned}) => learned === 'unknown').map(({id}) => id);
 		if (unknown.length > 0) {
 			options.onUnknown(unknown, from);
 		}
 
-		if (outcomes.some(({learned}) => learned === 'changed' || learned === 'joined')) {
+		if (newsworthy.length > 0) {
 			spread(relayTargets);
 		}
 	};
@@ -221,12 +223,31 @@
 		const asked = (heartbeat.unheard ?? []).slice(0, unheardInMessage);
 		send(from, compose('reply', id, isOlderThanKnown ? [id, ...asked] : asked));
 		for (const unheard of asked) {
-			if (table.get(unheard)?.member.health === 'alive') {
-				doubts.raise(unheard);
+			if (table.get(unheard)?.member.health === 'alive' && doubts.raise(unheard)) {
+				probe(unheard);
 			}
 		}
 	};
 
+	/** While a peer is in doubt, one other peer is asked after it in each round, and probes it at once. */
+	const chooseHelper = (doubted: readonly string[]): string | undefined => {
+		if (doubted.length === 0) {
+			return undefined;
+		}
+
+		const isFit = helper !== undefined && !doubted.includes(helper) && table.get(helper)?.member.health === 'alive';
+		return isFit
+			? helper
+			: ring.sample(table.known(), helperCandidates).find(id => !doubted.includes(id) && table.get(id)?.member.health === 'alive');
+	};
+
+	const roundTargets = (): ReadonlySet<string> => {
+		const doubted = doubts.doubted().slice(0, reprobesPerRound);
+		helper = chooseHelper(doubted);
+		const chosen = [...doubted, ring.next(table.known()), helper];
+		return new Set(chosen.filter(id => id !== undefined));
+	};
+
 	return {
 		round(contacts) {
 			self.advance();
@@ -240,9 +261,7 @@
 				}
 			}
 
-			const next = ring.next(table.known());
-			const targets = new Set([...doubts.doubted().slice(0, reprobesPerRound), ...(next === undefined ? [] : [next])]);
-			for (const id of targets) {
+			for (const id of roundTargets()) {
 				probe(id);
 			}
 
@@ -278,7 +297,6 @@
 		forget(id) {
 			doubts.forget(id);
 			introduced.delete(id);
-			joinedNews.delete(id);
 		},
 		roundsUnheard: () => roundsUnheard,
 	};
--- a/packages/membership/src/memberTable.ts
+++ b/packages/membership/src/memberTable.ts
@@ -16,9 +16,10 @@
 /**
  * What a message about a peer brought.
  * `unknown`: a beat of a peer of which no record is at hand. `stale`: nothing new.
- * `refreshed`: a higher sequence alone. `joined`: the first record, or that of a new incarnation.
+ * `refreshed`: a higher sequence alone. `updated`: a higher configuration version besides.
+ * `changed`: another state or health. `joined`: the first record, or that of a new incarnation.
  */
-export type Learned = 'unknown' | 'stale' | 'refreshed' | 'changed' | 'joined';
+export type Learned = 'unknown' | 'stale' | 'refreshed' | 'updated' | 'changed' | 'joined';
 
 /** The peers by id. */
 export type MemberTable = {
@@ -67,9 +68,13 @@
 	load: beat.load ?? member.load,
 });
 
-const isSameToOthers = (a: Member, b: Member): boolean => a.state === b.state
-	&& a.health === b.health
-	&& a.configurationVersion === b.configurationVersion;
+const compareMembers = (before: Member, after: Member): Learned => {
+	if (before.state !== after.state || before.health !== after.health) {
+		return 'changed';
+	}
+
+	return before.configurationVersion === after.configurationVersion ? 'refreshed' : 'updated';
+};
 
 /**
  * Creates an empty table.
@@ -108,12 +113,9 @@
 	const update = (current: KnownMember, beat: MemberBeat): Learned => {
 		const member = withBeat(current.member, beat);
 		store(member, beat.sequence);
-		if (isSameToOthers(member, current.member)) {
-			return 'refreshed';
-		}
-
-		version += 1;
-		return 'changed';
+		const learned = compareMembers(current.member, member);
+		version += learned === 'refreshed' ? 0 : 1;
+		return learned;
 	};
 
 	return {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -11,7 +11,10 @@
 	readonly self: () => Member;
 	/** All members that are not known to be gone, this process included, ordered by id. */
 	readonly members: () => readonly Member[];
-	/** Emits the members after each change; a change of load alone is none. */
+	/**
+	 * Emits the members after each change of a state or health, a join, a removal, and a configuration
+	 * version higher than any seen. Other versions and loads are found in `members()`.
+	 */
 	readonly changes: Observable<readonly Member[]>;
 	/** The platform's list, upstreams included, after each reading that succeeds. */
 	readonly listed: Observable<readonly ListedInstance[]>;
--- a/packages/membership/src/newsQueue.ts
+++ b/packages/membership/src/newsQueue.ts
@@ -38,7 +38,7 @@
 		take(limit) {
 			const chosen = [...remaining.entries()]
 				.toSorted(([, a], [, b]) => b - a)
-				.slice(0, limit);
+				.slice(0, Math.max(limit, 0));
 			for (const [id, messages] of chosen) {
 				count(id, messages);
 			}
