--- a/packages/steering/src/__tests__/blockTable.test.ts
+++ b/packages/steering/src/__tests__/blockTable.test.ts
@@ -9,8 +9,8 @@
 
 const seed = 20_262;
 
-const build = (blocks: readonly ClientBlock[]): BlockTable => {
-	const work = buildBlockTable(blocks);
+const build = (blocks: readonly ClientBlock[], earlier?: BlockTable): BlockTable => {
+	const work = buildBlockTable(blocks, earlier?.source);
 	let step = work.next();
 	while (!step.done) {
 		step = work.next();
@@ -68,3 +68,23 @@
 test.each(['10.0.0.0', '10.0.0.0/33', '10.0.0.0/', '10.0.0.0/-1', '10.0.0.0/1e1', '::/129', '/8', ''])('"%s" is no prefix', text => {
 	expect(parsePrefix(text).isErr()).toBe(true);
 });
+
+test('a table built on an earlier one equals one built anew', () => {
+	const block = fc.oneof(prefixOf(1), prefixOf(4)).map((prefix): ClientBlock => ({prefix: formatPrefix(prefix), preference: `p${prefix.length}`}));
+	fc.assert(fc.property(
+		fc.array(block, {maxLength: 20}),
+		fc.array(block, {maxLength: 8}),
+		fc.nat(20),
+		fc.nat(8),
+		(blocks, inserted, at, removed) => {
+			const changed = blocks.toSpliced(at, removed, ...inserted);
+			const incremental = build(changed, build(blocks));
+			const anew = build(changed);
+			expect(incremental.size).toBe(anew.size);
+			for (const {prefix} of [...blocks, ...inserted]) {
+				const address = parsePrefix(prefix)._unsafeUnwrap();
+				expect(incremental.locate(address)).toEqual(anew.locate(address));
+			}
+		},
+	), {seed, numRuns: 300});
+});
--- a/packages/steering/src/blockTable.ts
+++ b/packages/steering/src/blockTable.ts
@@ -2,10 +2,11 @@
  * Longest-prefix table of client blocks.
  */
 import type {ClientBlock} from '@filbertwell/types/intent';
+import {createBlockList, type BlockList} from './blockTableList.js';
+import {buildRanges, type PrefixRanges} from './blockTableRanges.js';
 import {
 	formatPrefix, parsePrefix, type AddressFamily, type AddressWords,
 } from './lookupAddress.js';
-import {buildRanges, type PrefixList, type PrefixRanges} from './blockTableRanges.js';
 
 /** The block that an address belongs to. */
 export type FoundBlock = {
@@ -20,115 +21,139 @@
 	readonly size: number;
 	/** Memory of the arrays, in bytes. */
 	readonly bytes: number;
+	/** What the table was built from, for the next build. */
+	readonly source: BlockSource;
 };
 
-type FamilyTable = {
-	readonly list: PrefixList;
-	readonly preferences: Uint16Array;
-	readonly ranges: PrefixRanges;
+/** Blocks with their parsed form. */
+export type BlockSource = {
+	readonly blocks: readonly ClientBlock[];
+	readonly lists: Readonly<Record<AddressFamily, BlockList>>;
+	/** Names of preferences by their numbers in the lists. */
+	readonly preferences: readonly string[];
 };
 
-type FamilyBuilder = {
-	readonly add: (words: readonly number[], length: number, preference: number) => void;
-	readonly build: () => Generator<void, FamilyTable>;
+type Overlap = {
+	/** Blocks that both have at their beginning. */
+	readonly first: number;
+	/** Blocks that both have at their end. */
+	readonly last: number;
 };
 
-const itemsPerStep = 64;
-const initialCapacity = 1024;
-
-const grow = <Values extends Uint32Array | Uint8Array | Uint16Array>(values: Values, create: (size: number) => Values): Values => {
-	const larger = create(values.length * 2);
-	larger.set(values);
-	return larger;
+type ParseJob = {
+	readonly blocks: readonly ClientBlock[];
+	readonly lists: Readonly<Record<AddressFamily, BlockList>>;
+	readonly numberOf: (preference: string) => number;
 };
 
-const createFamilyBuilder = (width: number): FamilyBuilder => {
-	let networks = new Uint32Array(initialCapacity * width);
-	let lengths = new Uint8Array(initialCapacity);
-	let preferences = new Uint16Array(initialCapacity);
-	let count = 0;
-
-	return {
-		add(words, length, preference) {
-			if (count === lengths.length) {
-				networks = grow(networks, size => new Uint32Array(size));
-				lengths = grow(lengths, size => new Uint8Array(size));
-				preferences = grow(preferences, size => new Uint16Array(size));
-			}
-
-			networks.set(words, count * width);
-			lengths[count] = length;
-			preferences[count] = preference;
-			count += 1;
-		},
-		* build() {
-			const list: PrefixList = {
-				width, count, networks: networks.slice(0, count * width), lengths: lengths.slice(0, count),
-			};
-			const ranges = yield * buildRanges(list);
-			return {list, preferences: preferences.slice(0, count), ranges};
-		},
-	};
-};
+const itemsPerStep = 64;
+const comparisonsPerStep = 4096;
+
+/** Finds the identical objects at both ends of two lists. */
+const findOverlap = function * (before: readonly ClientBlock[], after: readonly ClientBlock[]): Generator<void, Overlap> {
+	const shorter = Math.min(before.length, after.length);
+	let first = 0;
+	while (first < shorter && before[first] === after[first]) {
+		first += 1;
+		if (first % comparisonsPerStep === 0) {
+			yield;
+		}
+	}
 
-const findIn = ({list, preferences, ranges}: FamilyTable, names: readonly string[], words: readonly number[]): FoundBlock | undefined => {
-	const index = ranges.locate(words);
-	if (index < 0) {
-		return undefined;
+	let last = 0;
+	while (last < shorter - first && before.at(-1 - last) === after.at(-1 - last)) {
+		last += 1;
+		if (last % comparisonsPerStep === 0) {
+			yield;
+		}
 	}
 
-	const start = index * list.width;
-	return {
-		prefix: formatPrefix({words: [...list.networks.subarray(start, start + list.width)], length: list.lengths[index]!}),
-		preference: names[preferences[index]!]!,
-	};
+	return {first, last};
 };
 
-const bytesOf = ({list, preferences, ranges}: FamilyTable): number => list.networks.byteLength
-	+ list.lengths.byteLength + preferences.byteLength + ranges.bytes;
-
-/** Numbers names in the order in which they are first seen. */
-const createNames = () => {
-	const numbers = new Map<string, number>();
+const createNumbering = (names: readonly string[]) => {
+	const numbers = new Map(names.map((name, number) => [name, number]));
 	return {
 		numberOf(name: string): number {
 			const number = numbers.get(name) ?? numbers.size;
 			numbers.set(name, number);
 			return number;
 		},
-		all: () => [...numbers.keys()],
+		names: () => [...numbers.keys()],
 	};
 };
 
-/**
- * Builds a table in small steps. Blocks whose prefix can't be parsed are left out: a
- * configuration that has one does not pass its checks.
- *
- * @param blocks - Client blocks in any order.
- * @returns A generator that yields between steps and returns the table.
- */
-export const buildBlockTable = function * (blocks: readonly ClientBlock[]): Generator<void, BlockTable> {
-	const builders: Record<AddressFamily, FamilyBuilder> = {ipv4: createFamilyBuilder(1), ipv6: createFamilyBuilder(4)};
-	const names = createNames();
-	for (const [index, {prefix, preference}] of blocks.entries()) {
+/** Parses blocks from one index up to another. */
+const parseBlocks = function * ({blocks, lists, numberOf}: ParseJob, from: number, to: number): Generator<void, void> {
+	for (let index = from; index < to; index++) {
+		const {prefix, preference} = blocks[index]!;
 		const parsed = parsePrefix(prefix);
 		if (parsed.isOk()) {
-			builders[parsed.value.family].add(parsed.value.words, parsed.value.length, names.numberOf(preference));
+			const {family, words, length} = parsed.value;
+			lists[family].add({
+				words, length, preference: numberOf(preference), block: index,
+			});
 		}
 
 		if (index % itemsPerStep === 0) {
 			yield;
 		}
 	}
+};
+
+/** Parses the blocks that an earlier table lacks and copies the rest from it. */
+const readBlocks = function * (blocks: readonly ClientBlock[], earlier: BlockSource | undefined): Generator<void, BlockSource> {
+	const lists = {ipv4: createBlockList(1), ipv6: createBlockList(4)};
+	const numbering = createNumbering(earlier?.preferences ?? []);
+	const {first, last} = earlier === undefined ? {first: 0, last: 0} : yield * findOverlap(earlier.blocks, blocks);
+	const job: ParseJob = {blocks, lists, numberOf: numbering.numberOf};
+	const shift = blocks.length - (earlier?.blocks.length ?? 0);
+	for (const family of ['ipv4', 'ipv6'] as const) {
+		if (earlier !== undefined) {
+			lists[family].copy(earlier.lists[family], {from: 0, to: first, shift: 0});
+			yield;
+		}
+	}
+
+	yield * parseBlocks(job, first, blocks.length - last);
+	for (const family of ['ipv4', 'ipv6'] as const) {
+		if (earlier !== undefined) {
+			lists[family].copy(earlier.lists[family], {from: earlier.blocks.length - last, to: earlier.blocks.length, shift});
+			yield;
+		}
+	}
+
+	return {blocks, lists, preferences: numbering.names()};
+};
 
-	const tables: Record<AddressFamily, FamilyTable> = {
-		ipv4: yield * builders.ipv4.build(),
-		ipv6: yield * builders.ipv6.build(),
+/**
+ * Builds a table in small steps. Blocks whose prefix can't be parsed are left out: a
+ * configuration that has one does not pass its checks.
+ *
+ * @param blocks - Client blocks in any order.
+ * @param earlier - What an earlier table was built from; blocks that are the same objects are not parsed again.
+ * @returns A generator that yields between steps and returns the table.
+ */
+export const buildBlockTable = function * (blocks: readonly ClientBlock[], earlier?: BlockSource): Generator<void, BlockTable> {
+	const source = yield * readBlocks(blocks, earlier);
+	const {lists, preferences} = source;
+	const ranges: Record<AddressFamily, PrefixRanges> = {
+		ipv4: yield * buildRanges(lists.ipv4.prefixes()),
+		ipv6: yield * buildRanges(lists.ipv6.prefixes()),
 	};
-	const allNames = names.all();
+
 	return {
-		size: tables.ipv4.list.count + tables.ipv6.list.count,
-		bytes: bytesOf(tables.ipv4) + bytesOf(tables.ipv6),
-		locate: ({family, words}) => findIn(tables[family], allNames, words),
+		source,
+		size: lists.ipv4.size() + lists.ipv6.size(),
+		bytes: lists.ipv4.bytes() + lists.ipv6.bytes() + ranges.ipv4.bytes + ranges.ipv6.bytes,
+		locate({family, words}) {
+			const index = ranges[family].locate(words);
+			if (index < 0) {
+				return undefined;
+			}
+
+			const found = lists[family].at(index);
+			return {prefix: formatPrefix(found), preference: preferences[found.preference]!};
+		},
 	};
 };
--- a/packages/steering/src/blockTableRanges.ts
+++ b/packages/steering/src/blockTableRanges.ts
@@ -53,7 +53,20 @@
 /** Sorts the indices of prefixes by network, shorter first. */
 const sortedOrder = function * (list: PrefixList): Generator<void, Uint32Array> {
 	const compare = createCompare(list);
-	let from = Uint32Array.from({length: list.count}, (_, index) => index);
+	let from = new Uint32Array(list.count);
+	let isSorted = true;
+	for (let index = 0; index < list.count; index++) {
+		from[index] = index;
+		isSorted &&= index === 0 || compare(index - 1, index) < 0;
+		if (index % itemsPerStep === 0) {
+			yield;
+		}
+	}
+
+	if (isSorted) {
+		return from;
+	}
+
 	let to = new Uint32Array(list.count);
 	for (let run = 1; run < list.count; run *= 2) {
 		for (let start = 0; start < list.count; start += 2 * run) {
--- a/packages/steering/src/lookup.ts
+++ b/packages/steering/src/lookup.ts
@@ -2,7 +2,7 @@
  * Answers look-ups: from a caller's address to ordered entries with a lifetime.
  */
 import type {Configuration} from '@filbertwell/types/configuration';
-import type {ClientBlock, Intent} from '@filbertwell/types/intent';
+import type {Intent} from '@filbertwell/types/intent';
 import type {LookupAnswer} from '@filbertwell/types/lookupAnswer';
 import type {Member} from '@filbertwell/types/member';
 import {monotonicClock, type Clock} from '@filbertwell/utils/clock';
@@ -13,7 +13,7 @@
 } from './lookupAddress.js';
 import type {LookupError} from './lookupError.js';
 import {
-	chooseEntries, orderSites, usableEntries, type SiteEntries,
+	chooseEntries, groupBySite, orderSites, usableEntries, type SiteEntries,
 } from './lookupOrder.js';
 import {runInSlices} from './lookupSlices.js';
 
@@ -72,7 +72,7 @@
 const createSiteOrders = (members: () => readonly Member[]) => {
 	const orders = new Map<string, readonly SiteEntries[]>();
 	let seen: readonly Member[] = [];
-	let usable: readonly Member[] = [];
+	let groups: ReadonlyMap<string, SiteEntries> = new Map();
 	let seenIntent: Intent | undefined;
 
 	const refresh = (intent: Intent) => {
@@ -81,7 +81,7 @@
 		seen = current;
 		if (!isSame) {
 			seenIntent = intent;
-			usable = usableEntries(current, intent.drains);
+			groups = groupBySite(usableEntries(current, intent.drains));
 			orders.clear();
 		}
 	};
@@ -93,7 +93,7 @@
 			return kept;
 		}
 
-		const order = orderSites(preferences.get(preference) ?? [], usable, configuration.intent);
+		const order = orderSites(preferences.get(preference) ?? [], groups, configuration.intent);
 		orders.set(preference, order);
 		return order;
 	};
@@ -113,7 +113,6 @@
 export const createLookup = ({members, clock = monotonicClock}: LookupOptions): Lookup => {
 	const siteOrders = createSiteOrders(members);
 	let tables: Tables | undefined;
-	let builtFrom: readonly ClientBlock[] | undefined;
 	let building: AbortController | undefined;
 
 	const answerFrom = (current: Tables, service: string, address: AddressWords): Result<LookupAnswer, LookupError> => {
@@ -149,17 +148,17 @@
 		},
 		async update(configuration) {
 			building?.abort();
-			const blocks = configuration.intent.clientBlocks;
-			if (tables !== undefined && blocks === builtFrom) {
+			const {clientBlocks} = configuration.intent;
+			if (tables?.configuration.intent.clientBlocks === clientBlocks) {
 				tables = createTables(configuration, tables.blocks);
 				return;
 			}
 
 			building = new AbortController();
-			const table = await runInSlices(buildBlockTable(blocks), {clock, sliceMs, signal: building.signal});
-			if (table !== undefined) {
-				builtFrom = blocks;
-				tables = createTables(configuration, table);
+			const work = buildBlockTable(clientBlocks, tables?.blocks.source);
+			const blocks = await runInSlices(work, {clock, sliceMs, signal: building.signal});
+			if (blocks !== undefined) {
+				tables = createTables(configuration, blocks);
 			}
 		},
 		size: () => ({blocks: tables?.blocks.size ?? 0, tableBytes: tables?.blocks.bytes ?? 0}),
--- a/packages/steering/src/lookupOrder.ts
+++ b/packages/steering/src/lookupOrder.ts
@@ -57,7 +57,13 @@
 	return choices.find(choice => choice.length > 0) ?? [];
 };
 
-const groupBySite = (entries: readonly Member[]): ReadonlyMap<string, SiteEntries> => {
+/**
+ * Groups entries by site.
+ *
+ * @param entries - Usable entries.
+ * @returns The sites by name.
+ */
+export const groupBySite = (entries: readonly Member[]): ReadonlyMap<string, SiteEntries> => {
 	const groups = new Map<string, SiteEntries & {readonly byId: Map<string, Member>}>();
 	for (const entry of entries) {
 		const group = groups.get(entry.site) ?? {
@@ -90,17 +96,30 @@
 		};
 };
 
+const countEntries = (sites: readonly SiteEntries[]): number => {
+	let count = 0;
+	for (const {byId} of sites) {
+		count += byId.size;
+	}
+
+	return count;
+};
+
 /**
- * Orders sites for a preference: those that it names, then the others by their distance from the first named.
+ * Orders sites for a preference: those that it names, then the others by their distance from the
+ * first named. The others are left out where two named sites fill an answer.
  *
  * @param preferred - Names of sites, best first.
- * @param entries - Usable entries.
- * @param intent - Places of the sites.
+ * @param groups - Sites with usable entries.
+ * @param intent - Places of the sites, and the number of addresses in an answer.
  * @returns Sites with at least one usable entry.
  */
-export const orderSites = (preferred: readonly string[], entries: readonly Member[], intent: Intent): readonly SiteEntries[] => {
-	const groups = groupBySite(entries);
+export const orderSites = (preferred: readonly string[], groups: ReadonlyMap<string, SiteEntries>, intent: Intent): readonly SiteEntries[] => {
 	const named = preferred.flatMap(name => groups.get(name) ?? []);
+	if (named.length > 1 && countEntries(named) >= intent.lookups.addresses) {
+		return named;
+	}
+
 	const origin = placeOf(preferred[0], intent) ?? named[0];
 	const others = [...groups.values()]
 		.filter(({site}) => !preferred.includes(site))
