--- /dev/null
+++ b/packages/lookup/src/lookupRuntime.ts
@@ -0,0 +1,111 @@
+/**
+ * The running look-up process: control plane, and the servers for callers and operators.
+ */
+import {createAdminServer} from '@filbertwell/entry/adminServer';
+import {startControlPlane, type ControlPlane} from '@filbertwell/entry/controlPlane';
+import {startRegistration} from '@filbertwell/entry/instanceRegistration';
+import {processEvents} from '@filbertwell/logger/events/processEvents';
+import {createLogger} from '@filbertwell/logger/logger';
+import {createMetrics} from '@filbertwell/metrics/createMetrics';
+import type {LookupSettings} from '@filbertwell/settings/lookupSettings';
+import type {EntryState} from '@filbertwell/types/entryState';
+import type {SocketAddress} from '@filbertwell/types/place';
+import {monotonicClock as clock} from '@filbertwell/utils/clock';
+import {waitUnlessAborted} from '@filbertwell/utils/periodic';
+import {createRandom} from '@filbertwell/utils/random';
+import {err} from 'neverthrow';
+import {firstValueFrom} from 'rxjs';
+import {createLookupServer} from './lookupServer.js';
+
+/** A running look-up process. */
+export type LookupRuntime = {
+	readonly callers: SocketAddress;
+	readonly admin: SocketAddress;
+	/** Tells peers, goes on answering for a margin, and closes. */
+	readonly stop: () => Promise<void>;
+};
+
+const maximumLabelSets = 1;
+
+const stateOf = ({membership, follower}: ControlPlane): EntryState => {
+	const configuration = follower.current();
+	return {
+		self: membership.self(),
+		members: membership.members(),
+		configuration: configuration && {
+			version: configuration.version,
+			changeId: configuration.changeId,
+			author: configuration.author,
+			acceptedAt: configuration.acceptedAt,
+		},
+		drains: configuration?.intent.drains ?? [],
+		shiftCaps: configuration?.intent.shiftCaps,
+		shifts: [],
+	};
+};
+
+/**
+ * Starts a look-up process. It serves once a configuration is in force.
+ *
+ * @param settings - Checked settings.
+ * @param seed - Seed of its random numbers.
+ * @returns The running process; rejects where an address can't be listened on.
+ */
+export const startLookupRuntime = async (settings: LookupSettings, seed: number): Promise<LookupRuntime> => {
+	const log = createLogger('lookup');
+	const random = createRandom(seed);
+	const metrics = createMetrics({maximumLabelSets});
+	const {id, availabilityZone} = settings.process;
+	const stopping = new AbortController();
+	let isServing = false;
+
+	const control = await startControlPlane({
+		settings, role: 'lookup', callerAddress: settings.callers, clock, random, metrics,
+	});
+	const {platform, channel, membership, follower, lookup} = control;
+	const registration = startRegistration({
+		instances: platform.instances,
+		instance: {
+			id, kind: 'lookup', host: settings.peers.host, port: channel.address.port, availabilityZone,
+		},
+		random,
+		log,
+	});
+	const admin = await createAdminServer({
+		address: settings.admin,
+		readiness: () => isServing ? {ready: true, reason: 'serving'} : {ready: false, reason: 'no configuration is in force yet, or the process is stopping'},
+		state: () => stateOf(control),
+		exposition: async () => metrics.exposition(),
+		explain: () => err('a look-up process carries no requests; ask an entry'),
+	});
+	metrics.observeGauge('configuration_version', 'Version of the configuration in force', () => follower.current()?.version ?? 0);
+	metrics.observeGauge('members', 'Members that are not known to be gone', () => membership.members().length);
+	const callers = await createLookupServer({address: settings.callers, lookup, intent: () => follower.current()?.intent});
+
+	await firstValueFrom(follower.inForce);
+	isServing = true;
+	membership.announceState('serving');
+	log(processEvents.started, {id, callers: `${callers.address.host}:${callers.address.port}`, version: follower.current()?.version});
+
+	return {
+		callers: callers.address,
+		admin: admin.address,
+		async stop() {
+			if (stopping.signal.aborted) {
+				return;
+			}
+
+			stopping.abort();
+			isServing = false;
+			log(processEvents.stopping, {id});
+			membership.announceState('leaving');
+			registration.setState('leaving');
+			await waitUnlessAborted(settings.stop.drainMarginMs, new AbortController().signal);
+			await callers.close();
+			await registration.remove();
+			await control.stop();
+			await admin.close();
+			log(processEvents.stopped, {id});
+		},
+	};
+};
--- /dev/null
+++ b/packages/lookup/src/main.ts
@@ -0,0 +1,11 @@
+#!/usr/bin/env node
+/**
+ * `filbertwell-lookup`: answers look-ups without carrying requests.
+ */
+import {runProgram} from '@filbertwell/entry/runProgram';
+import {loadLookupSettings} from '@filbertwell/settings/lookupSettings';
+import {startLookupRuntime} from './lookupRuntime.js';
+
+await runProgram({
+	name: 'filbertwell-lookup', noun: 'a look-up process', load: loadLookupSettings, start: startLookupRuntime,
+});
--- a/packages/measure/src/experiments/lookupRate.ts
+++ b/packages/measure/src/experiments/lookupRate.ts
@@ -109,6 +109,8 @@
 		for (let update = 0; update < updates; update++) {
 			current = changeBlocks(current, update);
 			const configuration = createTargetConfiguration(random, current, update + 2);
+			// What was left by making the change is not the update's.
+			heapInUse();
 			const measured = await measurePause(async () => lookup.update(configuration)); // eslint-disable-line no-await-in-loop
 			pausesMs.push(measured.worstPauseMs);
 			durationsMs.push(measured.durationMs);
