--- a/packages/entry/src/controlPlane.ts
+++ b/packages/entry/src/controlPlane.ts
@@ -77,6 +77,7 @@
 		random,
 		log: createLogger('membership'),
 		roundIntervalMs: settings.membership.heartbeatMs,
+		suspectAfterMs: settings.membership.suspectMs,
 		listIntervalMs: settings.membership.listMs,
 		removeAfterMs: settings.membership.forgetMs,
 	});
--- a/packages/membership/src/__tests__/createMembership.test.ts
+++ b/packages/membership/src/__tests__/createMembership.test.ts
@@ -47,6 +47,7 @@
 		log: silentLogger,
 		incarnation,
 		roundIntervalMs: 20,
+		suspectAfterMs: 60,
 		listIntervalMs: 50,
 		removeAfterMs: 100,
 	});
--- a/packages/membership/src/__tests__/exchangeFixture.ts
+++ b/packages/membership/src/__tests__/exchangeFixture.ts
@@ -65,6 +65,7 @@
 			table,
 			clock: clock.now,
 			random: createRandom(nodes.size + 1),
+			silentAfterProbes: 3,
 			send(to, heartbeat) {
 				queue.push({from: id, to: to.host, heartbeat});
 			},
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -39,14 +39,17 @@
 	/** Number of this start of the process; by default the wall clock in milliseconds. */
 	readonly incarnation?: number;
 	readonly roundIntervalMs?: number;
+	/** Silence after which a member is suspect; it counts in whole rounds. */
+	readonly suspectAfterMs?: number;
 	readonly listIntervalMs?: number;
-	/** Added to the time between readings of the list for each member. */
+	/** Added to the time between readings of the list for each member beyond a small deployment. */
 	readonly listIntervalPerMemberMs?: number;
 	/** How long a member must be silent and unlisted before it is forgotten. */
 	readonly removeAfterMs?: number;
 };
 
 const defaultRoundIntervalMs = 1000;
+const defaultSuspectAfterMs = 3000;
 const defaultListIntervalMs = 2000;
 const defaultListIntervalPerMemberMs = 500;
 const defaultRemoveAfterMs = 30_000;
@@ -61,7 +64,12 @@
  * @returns The membership, with this process alone as `starting` until peers are heard.
  */
 export const createMembership = (options: MembershipOptions): Membership => {
-	const {channel, clock, random, log, removeAfterMs = defaultRemoveAfterMs} = options;
+	const {
+		channel, clock, random, log,
+		removeAfterMs = defaultRemoveAfterMs,
+		roundIntervalMs = defaultRoundIntervalMs,
+		suspectAfterMs = defaultSuspectAfterMs,
+	} = options;
 	const stopping = new AbortController();
 	const changes = new Subject<readonly Member[]>();
 	const superseded = new Subject<Member>();
@@ -127,6 +135,7 @@
 		table,
 		clock,
 		random,
+		silentAfterProbes: Math.max(Math.ceil(suspectAfterMs / roundIntervalMs), 2),
 		send(to, heartbeat) {
 			channel.sendHeartbeat(to, heartbeat);
 		},
@@ -208,7 +217,7 @@
 	subscription.add(watch.readings.subscribe(applyReading));
 	channel.handle('membership.members', createMembersHandler(records));
 	const heartbeats = runPeriodically({
-		intervalMs: options.roundIntervalMs ?? defaultRoundIntervalMs,
+		intervalMs: roundIntervalMs,
 		jitter: roundJitter,
 		random,
 		signal: stopping.signal,
--- a/packages/membership/src/heartbeatExchange.ts
+++ b/packages/membership/src/heartbeatExchange.ts
@@ -11,6 +11,7 @@
 import type {Clock} from '@filbertwell/utils/clock';
 import type {Random} from '@filbertwell/utils/random';
 import {createTokenBucket} from '@filbertwell/utils/tokenBucket';
+import {messagesPerChange, ownNewsTargets, relayTargets} from './dissemination.js';
 import {createDoubts} from './doubts.js';
 import type {Learned, MemberTable} from './memberTable.js';
 import {createNewsQueue} from './newsQueue.js';
@@ -39,6 +40,8 @@
 	readonly send: (to: SocketAddress, heartbeat: Heartbeat) => void;
 	readonly clock: Clock;
 	readonly random: Random;
+	/** Probes that a peer must leave unanswered, one a round, to become suspect. */
+	readonly silentAfterProbes: number;
 	/** Called with ids of which no record is at hand, and the peer that named them. */
 	readonly onUnknown: (ids: readonly string[], from: SocketAddress) => void;
 	/** Called with a peer that answered a probe. */
@@ -54,10 +57,8 @@
 const recordsPerMessage = 2;
 const beatsPerRecord = 3;
 const reprobesPerRound = 3;
-const ownNewsTargets = 8;
-const relayTargets = 4;
-const silentAfterProbes = 3;
-const silentAfterProbesUnheard = 10;
+/** While no peer at all is heard, silence says little of any one: suspicion takes so many times longer. */
+const unheardFactor = 3;
 const newsMessagesPerSecond = 8;
 const newsMessagesBurst = 64;
 const unheardInMessage = 3;
@@ -66,9 +67,6 @@
 /** A version alone isn't passed on: each member tells its own, and all have a new one at about the same time. */
 const isNews = (learned: Learned): boolean => learned === 'joined' || learned === 'changed';
 
-/** Messages that a change goes into after its first spread: enough to reach the last members. */
-const messagesPerChange = (members: number): number => Math.ceil(Math.log2(members + 2)) + 2;
-
 /**
  * Creates the exchange.
  *
@@ -76,7 +74,7 @@
  * @returns The exchange; nothing is sent before the first round.
  */
 export const createHeartbeatExchange = (options: HeartbeatExchangeOptions): HeartbeatExchange => {
-	const {self, table, send, clock, random} = options;
+	const {self, table, send, clock, random, silentAfterProbes} = options;
 	const doubts = createDoubts();
 	const joins = createNewsQueue();
 	const changes = createNewsQueue();
@@ -252,7 +250,7 @@
 		round(contacts) {
 			self.advance();
 			roundsUnheard += 1;
-			const limit = roundsUnheard > silentAfterProbes ? silentAfterProbesUnheard : silentAfterProbes;
+			const limit = roundsUnheard > silentAfterProbes ? silentAfterProbes * unheardFactor : silentAfterProbes;
 			for (const id of doubts.endRound(limit)) {
 				if (table.suspect(id)) {
 					passOn(id, 'changed');
--- a/packages/membership/src/instanceListWatch.ts
+++ b/packages/membership/src/instanceListWatch.ts
@@ -31,12 +31,14 @@
 	readonly log: Logger;
 	/** Shortest time between two readings, in milliseconds. */
 	readonly minimumIntervalMs: number;
-	/** Added to the interval for each listed member, so that the platform's load stays bounded. */
+	/** Added for each member beyond a small deployment, so that the platform's load and the bytes stay bounded. */
 	readonly intervalPerMemberMs: number;
 	readonly members: () => number;
 };
 
-const jitter = 0.2;
+const jitter = 0.1;
+/** Members up to which each process reads the list at the shortest interval. */
+const smallDeploymentMembers = 16;
 
 /**
  * Creates the watch.
@@ -61,7 +63,7 @@
 	};
 
 	const intervalMs = (): number => {
-		const steadyMs = Math.max(minimumIntervalMs, members() * intervalPerMemberMs);
+		const steadyMs = minimumIntervalMs + (Math.max(members() - smallDeploymentMembers, 0) * intervalPerMemberMs);
 		return steadyMs * (1 + (jitter * ((2 * random()) - 1)));
 	};
 
--- a/packages/settings/src/processSections.ts
+++ b/packages/settings/src/processSections.ts
@@ -95,16 +95,16 @@
 	description: 'How processes watch each other.',
 	keys: {
 		heartbeatMs: millisecondsSetting({
-			description: 'Interval between heartbeats.', defaultText: '500', minimum: 20, maximum: 60_000,
+			description: 'Interval between heartbeats.', defaultText: '1000', minimum: 20, maximum: 60_000,
 		}),
 		suspectMs: millisecondsSetting({
-			description: 'Silence after which a peer is suspect.', defaultText: '2000', minimum: 50, maximum: 600_000,
+			description: 'Silence after which a peer is suspect.', defaultText: '3000', minimum: 50, maximum: 600_000,
 		}),
 		forgetMs: millisecondsSetting({
 			description: 'Silence after which a peer that the platform does not list is forgotten.', defaultText: '10000', minimum: 100, maximum: hourMs,
 		}),
 		listMs: millisecondsSetting({
-			description: 'Interval at which the platform\'s list of instances is read.', defaultText: '2000', minimum: 50, maximum: hourMs,
+			description: 'Interval at which the platform\'s list of instances is read by up to 16 members; more read it less often.', defaultText: '2000', minimum: 50, maximum: hourMs,
 		}),
 	},
 };
