--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -39,14 +39,17 @@
 	/** Number of this start of the process; by default the wall clock in milliseconds. */
 	readonly incarnation?: number;
 	readonly roundIntervalMs?: number;
+	/** Silence after which a member is suspect; it counts in whole rounds. */
+	readonly suspectAfterMs?: number;
 	readonly listIntervalMs?: number;
-	/** Added to the time between readings of the list for each member. */
+	/** Added to the time between readings of the list for each member beyond a small deployment. */
 	readonly listIntervalPerMemberMs?: number;
 	/** How long a member must be silent and unlisted before it is forgotten. */
 	readonly removeAfterMs?: number;
 };
 
 const defaultRoundIntervalMs = 1000;
+const defaultSuspectAfterMs = 3000;
 const defaultListIntervalMs = 2000;
 const defaultListIntervalPerMemberMs = 500;
 const defaultRemoveAfterMs = 30_000;
@@ -61,7 +64,12 @@
  * @returns The membership, with this process alone as `starting` until peers are heard.
  */
 export const createMembership = (options: MembershipOptions): Membership => {
-	const {channel, clock, random, log, removeAfterMs = defaultRemoveAfterMs} = options;
+	const {
+		channel, clock, random, log,
+		removeAfterMs = defaultRemoveAfterMs,
+		roundIntervalMs = defaultRoundIntervalMs,
+		suspectAfterMs = defaultSuspectAfterMs,
+	} = options;
 	const stopping = new AbortController();
 	const changes = new Subject<readonly Member[]>();
 	const superseded = new Subject<Member>();
@@ -84,6 +92,7 @@
 	});
 	const contacts = createContacts({seeds: options.seeds, self, table});
 	let rounds = 0;
+	let highestVersion = 0;
 	let emissionPending = false;
 
 	/** Emits once for all changes of one turn of the event loop. */
@@ -98,7 +107,7 @@
 
 	const logLearned = (id: string, learned: Learned) => {
 		const known = table.get(id);
-		if (known === undefined || learned === 'refreshed') {
+		if (known === undefined || learned === 'refreshed' || learned === 'updated') {
 			return;
 		}
 
@@ -109,6 +118,14 @@
 		});
 	};
 
+	/** A version that some member had before brings nothing to those who wait for a higher one. */
+	const isVisible = (id: string, learned: Learned): boolean => {
+		const version = table.get(id)?.member.configurationVersion ?? 0;
+		const isHighest = version > highestVersion;
+		highestVersion = Math.max(highestVersion, version);
+		return learned === 'joined' || learned === 'changed' || isHighest;
+	};
+
 	const records = (): readonly MemberRecord[] => view.members().map(member => member.id === self.member().id
 		? self.record()
 		: toRecord(table.get(member.id)!.member, table.get(member.id)!.sequence));
@@ -118,6 +135,7 @@
 		table,
 		clock,
 		random,
+		silentAfterProbes: Math.max(Math.ceil(suspectAfterMs / roundIntervalMs), 2),
 		send(to, heartbeat) {
 			channel.sendHeartbeat(to, heartbeat);
 		},
@@ -129,7 +147,7 @@
 		},
 		onLearned(id, learned) {
 			logLearned(id, learned);
-			if (learned !== 'refreshed') {
+			if (isVisible(id, learned)) {
 				void emit();
 			}
 		},
@@ -170,9 +188,13 @@
 	};
 
 	const compareWithPeer = () => {
-		const known = [...table.known().values()].filter(({member}) => member.health === 'alive');
-		const peer = known[Math.floor(random() * known.length)];
-		if (peer !== undefined && rounds % roundsBetweenComparisons === 0) {
+		if (rounds % roundsBetweenComparisons !== 0) {
+			return;
+		}
+
+		const alive = [...table.known().values()].filter(({member}) => member.health === 'alive');
+		const peer = alive[Math.floor(random() * alive.length)];
+		if (peer !== undefined) {
 			void fetch.comparePage(peer.member.peerAddress);
 		}
 	};
@@ -195,7 +217,7 @@
 	subscription.add(watch.readings.subscribe(applyReading));
 	channel.handle('membership.members', createMembersHandler(records));
 	const heartbeats = runPeriodically({
-		intervalMs: options.roundIntervalMs ?? defaultRoundIntervalMs,
+		intervalMs: roundIntervalMs,
 		jitter: roundJitter,
 		random,
 		signal: stopping.signal,
