--- a/packages/cli/src/__tests__/badInput.test.ts
+++ b/packages/cli/src/__tests__/badInput.test.ts
@@ -65,6 +65,10 @@
 	expect(JSON.parse(run.stdout)).toMatchObject({error: {kind: 'invalidInput', data: [{path: 'lookups.lifetimeSeconds', value: '0'}]}});
 });
 
+test('a reader that goes away changes neither the exit code nor standard error', async () => {
+	expect(await fixture.runUnread(['check', 'intent.json'])).toEqual({code: 0, stderr: ''});
+});
+
 test('an intent comes from standard input as well', async () => {
 	const run = await fixture.run(['check', '-'], formatIntent(smallIntent));
 	expect(run).toMatchObject({code: 0, stderr: ''});
--- a/packages/cli/src/__tests__/cliFixture.ts
+++ b/packages/cli/src/__tests__/cliFixture.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the compiled command line against a platform stand-in and a small admin server.
  */
-import {execFile} from 'node:child_process';
+import {execFile, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {createServer, type Server} from 'node:http';
@@ -9,6 +9,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {text as readText} from 'node:stream/consumers';
 import {fileURLToPath} from 'node:url';
 import {
 	endpoint, idempotentRoute, intent, region, service, sitePreference,
@@ -33,6 +34,8 @@
 export type CliFixture = {
 	readonly platform: PlatformStandin;
 	readonly run: (args: readonly string[], input?: string) => Promise<CliRun>;
+	/** Runs with a standard output that nobody reads; gives the exit code and standard error. */
+	readonly runUnread: (args: readonly string[]) => Promise<Omit<CliRun, 'stdout'>>;
 	readonly writeText: (name: string, text: string) => Promise<void>;
 	readonly setAdmin: (answer: AdminAnswer) => void;
 	readonly close: () => Promise<void>;
@@ -85,6 +88,13 @@
 	child.stdin?.end(input);
 });
 
+const runUnreadMain = async (args: readonly string[], cwd: string): Promise<Omit<CliRun, 'stdout'>> => {
+	const child = spawn(process.execPath, [main, ...args], {cwd, stdio: ['ignore', 'pipe', 'pipe']});
+	child.stdout.destroy();
+	const [stderr, [code]] = await Promise.all([readText(child.stderr), once(child, 'exit') as Promise<[number]>]);
+	return {code, stderr};
+};
+
 const closeServer = async (server: Server) => {
 	server.closeAllConnections();
 	server.close();
@@ -117,6 +127,7 @@
 	return {
 		platform,
 		run: async (args, input = '') => runMain(args, directory, input),
+		runUnread: async args => runUnreadMain(args, directory),
 		writeText,
 		setAdmin(answer) {
 			admin = answer;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -21,6 +21,11 @@
 
 const exitCodeHelp = `Exit codes: ${Object.entries(exitCodes).map(([name, code]) => `${code} ${name}`).join(', ')}`;
 
+for (const stream of [process.stdout, process.stderr]) {
+	// The reader may have gone, as in `filbertwell history | head -1`; the exit code still tells the outcome.
+	stream.on('error', () => undefined);
+}
+
 /** Whether programs read the output, also where the arguments can't be parsed. */
 const isJson = process.argv.includes('--json');
 
