--- /dev/null
+++ b/packages/cli/src/editAccepted.ts
@@ -0,0 +1,25 @@
+/**
+ * Edits the accepted intent and submits the result.
+ */
+import type {Intent} from '@filbertwell/types/intent';
+import type {Result} from 'neverthrow';
+import type {CommandContext} from './commandContext.js';
+import type {CommandFailure, CommandOutcome} from './commandFailure.js';
+import {requireAccepted} from './readAccepted.js';
+import {submitChange, type ChangeOptions} from './submitChange.js';
+
+/** Makes the intent after from the intent before. */
+export type IntentEdit = (intent: Intent) => Result<Intent, CommandFailure>;
+
+/**
+ * Edits the accepted intent and submits the result.
+ *
+ * @param context - Context of the command.
+ * @param options - Options of the change.
+ * @param edit - The edit.
+ * @returns What became of it.
+ */
+export const editAccepted = async (context: CommandContext, options: ChangeOptions, edit: IntentEdit): Promise<CommandOutcome> => submitChange(context, options, async () => {
+	const base = await requireAccepted(context);
+	return base.andThen(accepted => edit(accepted.intent).map(intent => ({base: accepted, intent})));
+});
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,11 @@
+#!/usr/bin/env node
+/**
+ * `filbertwell-entry`: carries callers' requests to upstreams and answers look-ups.
+ */
+import {loadEntrySettings} from '@filbertwell/settings/entrySettings';
+import {startEntryRuntime} from './entryRuntime.js';
+import {runProgram} from './runProgram.js';
+
+await runProgram({
+	name: 'filbertwell-entry', noun: 'an entry', load: loadEntrySettings, start: startEntryRuntime,
+});
--- a/packages/settings/src/processSections.ts
+++ b/packages/settings/src/processSections.ts
@@ -64,7 +64,7 @@
 			description: 'Time limit of one call to the platform.', defaultText: '2000', minimum: 10, maximum: 60_000,
 		}),
 		maximumCalls: countSetting({
-			description: 'Calls to the platform in progress at once; more wait.', defaultText: '32', minimum: 1, maximum: 1000,
+			description: 'Calls to the platform in progress at once, to each of its services; more wait.', defaultText: '16', minimum: 1, maximum: 1000,
 		}),
 	},
 };
@@ -95,16 +95,16 @@
 	description: 'How processes watch each other.',
 	keys: {
 		heartbeatMs: millisecondsSetting({
-			description: 'Interval between heartbeats.', defaultText: '500', minimum: 20, maximum: 60_000,
+			description: 'Interval between heartbeats.', defaultText: '1000', minimum: 20, maximum: 60_000,
 		}),
 		suspectMs: millisecondsSetting({
-			description: 'Silence after which a peer is suspect.', defaultText: '2000', minimum: 50, maximum: 600_000,
+			description: 'Silence after which a peer is suspect.', defaultText: '3000', minimum: 50, maximum: 600_000,
 		}),
 		forgetMs: millisecondsSetting({
 			description: 'Silence after which a peer that the platform does not list is forgotten.', defaultText: '10000', minimum: 100, maximum: hourMs,
 		}),
 		listMs: millisecondsSetting({
-			description: 'Interval at which the platform\'s list of instances is read.', defaultText: '2000', minimum: 50, maximum: hourMs,
+			description: 'Interval at which the platform\'s list of instances is read by up to 16 members; more read it less often.', defaultText: '2000', minimum: 50, maximum: hourMs,
 		}),
 	},
 };
