Fault tables of the router and of whole answers

Found by them: a deadline that passed between the wait for a slot and the start of an attempt left that attempt without an end; a retry with every endpoint excluded waited for nothing.

--- /dev/null
+++ b/packages/entry/src/__tests__/wholeAnswers.test.ts
@@ -0,0 +1,305 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import http from 'node:http';
+import net, {type Socket} from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {
+	call, callRaw, closedEndpoint, createCleanup, serviceWith, startEntry, startRawUpstream, startUpstream,
+} from './testEntry.js';
+
+const cleanup = createCleanup();
+afterEach(async () => cleanup.run());
+
+const order = {
+	path: '/inventory/order/1', method: 'POST', headers: {'idempotency-key': 'k'}, body: 'x',
+};
+
+/** An upstream that answers each request on a connection with some bytes, and then perhaps closes. */
+const answerRaw = (bytes: string, closes = true) => (socket: Socket) => {
+	socket.on('data', () => {
+		socket.write(bytes, () => {
+			if (closes) {
+				socket.destroy();
+			}
+		});
+	});
+};
+
+test.each([
+	{name: 'stops short of its length', bytes: 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc'},
+	{name: 'stops within chunks', bytes: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nabcde\r\n'},
+])('an answer that $name never reaches the caller as whole', async ({bytes}) => {
+	const {port} = await startEntry(cleanup, [serviceWith([await startRawUpstream(cleanup, answerRaw(bytes))])]);
+	const wholeness = call(port);
+	await expect(wholeness.catch(() => false).then(({isWhole}) => isWhole)).resolves.toBe(false); // eslint-disable-line promise/prefer-await-to-then -- a reset counts as not whole
+});
+
+test.each([
+	{name: 'closes without an answer', bytes: ''},
+	{name: 'answers nonsense', bytes: 'nonsense\r\n\r\n'},
+	{name: 'answers with both lengths', bytes: 'HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n'},
+	{name: 'answers with too many headers', bytes: `HTTP/1.1 200 OK\r\nx: ${'a'.repeat(70_000)}\r\n\r\n`},
+	{name: 'stops short of its length', bytes: 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc'},
+])('an order whose upstream $name is in doubt and runs once', async ({bytes}) => {
+	let connections = 0;
+	const upstream = await startRawUpstream(cleanup, socket => {
+		connections += 1;
+		answerRaw(bytes)(socket);
+	});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	const answer = await call(port, order);
+	expect(answer.headers['x-filbertwell-outcome']).toBe('in-doubt');
+	expect(JSON.parse(answer.body)).toMatchObject({ask: '/orders?service=inventory&key=k'});
+	expect(connections).toBe(1);
+});
+
+test('an endpoint that nobody listens at proves that nothing ran', async () => {
+	const {port} = await startEntry(cleanup, [serviceWith([await closedEndpoint()])]);
+	const read = await call(port);
+	expect(read.status).toBe(503);
+	expect(read.headers['x-filbertwell-outcome']).toBe('not-run');
+	const answer = await call(port, order);
+	expect(answer.headers['x-filbertwell-outcome']).toBe('not-run');
+});
+
+test('an upstream that says not-run is passed on as not run', async () => {
+	const upstream = await startUpstream(cleanup, (_request, response) => {
+		response.writeHead(503, {'x-upstream-outcome': 'not-run'});
+		response.end('full');
+	});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	const answer = await call(port, order);
+	expect(answer.status).toBe(503);
+	expect(answer.headers['x-filbertwell-outcome']).toBe('not-run');
+});
+
+test('a connection that the upstream closes at the moment of reuse costs an idempotent request nothing', async () => {
+	let requests = 0;
+	const upstream = await startRawUpstream(cleanup, socket => {
+		let first = true;
+		socket.on('data', () => {
+			requests += 1;
+			if (!first) {
+				socket.destroy();
+				return;
+			}
+
+			first = false;
+			socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+		});
+	}, {slots: 1});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	// Retries are earned by earlier requests.
+	const statuses: number[] = [];
+	for (let index = 0; index < 40; index += 1) {
+		const {status} = await call(port, {path: `/inventory/${index}`}); // eslint-disable-line no-await-in-loop
+		statuses.push(status);
+	}
+
+	expect(requests).toBeGreaterThan(40);
+	expect(statuses.filter(status => status !== 200 && status !== 502)).toStrictEqual([]);
+});
+
+test('orders never share a kept connection', async () => {
+	const ports = new Set<number>();
+	const upstream = await startUpstream(cleanup, (request, response) => {
+		ports.add(request.socket.remotePort ?? 0);
+		response.end('done');
+	});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	for (const key of ['a', 'b', 'c']) {
+		await call(port, {...order, headers: {'idempotency-key': key}}); // eslint-disable-line no-await-in-loop
+	}
+
+	expect(ports.size).toBe(3);
+});
+
+test('early hints are left out and the final answer is whole', async () => {
+	const upstream = await startUpstream(cleanup, (_request, response) => {
+		response.writeEarlyHints({link: '</a.css>; rel=preload'});
+		response.end('final');
+	});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	expect(await call(port)).toMatchObject({status: 200, body: 'final', isWhole: true});
+});
+
+test('trailers go both ways', async () => {
+	const upstream = await startUpstream(cleanup, (request, response) => {
+		request.resume();
+		request.once('end', () => {
+			response.writeHead(200, {trailer: 'x-sum'});
+			response.write('part');
+			response.addTrailers({'x-sum': '7'});
+			response.end();
+		});
+	});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	expect(await call(port)).toMatchObject({trailers: {'x-sum': '7'}});
+});
+
+test('HEAD keeps the length and has no body, and the connection goes on', async () => {
+	const upstream = await startUpstream(cleanup, (_request, response) => {
+		response.writeHead(200, {'content-length': 1000});
+		response.end();
+	});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	const agent = new http.Agent({keepAlive: true, maxSockets: 1});
+	cleanup.add(() => {
+		agent.destroy();
+	});
+	for (let index = 0; index < 3; index += 1) {
+		const answer = await call(port, {method: 'HEAD', agent}); // eslint-disable-line no-await-in-loop
+		expect(answer).toMatchObject({status: 200, body: '', isWhole: true});
+		expect(answer.headers['content-length']).toBe('1000');
+	}
+});
+
+test('large bodies pass whole in both directions', async () => {
+	const upstream = await startUpstream(cleanup, (request, response) => {
+		request.pipe(response);
+	});
+	const body = Buffer.alloc(8_000_000, 'abcdefg');
+	const {port} = await startEntry(cleanup, [serviceWith([upstream], {maximumBodyBytes: 10_000_000})]);
+	const answer = await call(port, {method: 'POST', body, headers: {'content-length': body.length}});
+	expect(answer.body === body.toString('utf8')).toBe(true);
+});
+
+test.each([
+	{name: 'small', bytes: 20_000, limit: 10_000},
+	{name: 'beyond what is held', bytes: 400_000, limit: 100_000},
+])('a chunked body over the limit ($name) is refused and not run whole', async ({bytes, limit}) => {
+	const upstream = await startUpstream(cleanup, (request, response) => {
+		request.resume();
+		request.once('end', () => {
+			response.end('ran');
+		});
+		request.once('error', () => undefined);
+	});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream], {maximumBodyBytes: limit})]);
+	const chunk = 'a'.repeat(10_000);
+	const chunks = Array.from({length: bytes / chunk.length}, () => `${chunk.length.toString(16)}\r\n${chunk}\r\n`).join('');
+	const received = await callRaw(port, `POST /inventory/a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`);
+	expect(received === '' || received.startsWith('HTTP/1.1 413 ')).toBe(true);
+	expect(received).not.toContain('ran');
+});
+
+test('a caller that reads slowly holds the upstream back', async () => {
+	let written = 0;
+	const upstream = await startUpstream(cleanup, (_request, response) => {
+		const chunk = Buffer.alloc(65_536);
+		const write = () => {
+			while (written < 200_000_000 && response.write(chunk)) {
+				written += chunk.length;
+			}
+		};
+
+		response.on('drain', write);
+		response.on('error', () => undefined);
+		write();
+	});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	const socket = net.connect(port, '127.0.0.1');
+	socket.write('GET /inventory/a HTTP/1.1\r\nhost: x\r\n\r\n');
+	await once(socket, 'readable');
+	let before = -1;
+	while (written !== before) {
+		before = written;
+		await new Promise(resolve => { // eslint-disable-line no-await-in-loop
+			setTimeout(resolve, 200);
+		});
+	}
+
+	socket.destroy();
+	expect(written).toBeLessThan(100_000_000);
+});
+
+test('work whose caller has gone is cancelled at the upstream', async () => {
+	let cancelled: (value: boolean) => void = () => undefined;
+	const ended = new Promise<boolean>(resolve => {
+		cancelled = resolve;
+	});
+	let started: () => void = () => undefined;
+	const running = new Promise<void>(resolve => {
+		started = resolve;
+	});
+	const upstream = await startUpstream(cleanup, (_request, response) => {
+		started();
+		response.once('close', () => {
+			cancelled(!response.writableFinished);
+		});
+	});
+	const {port, router} = await startEntry(cleanup, [serviceWith([upstream])]);
+	const request = http.get({
+		host: '127.0.0.1', port, path: '/inventory/a', agent: false,
+	});
+	request.on('error', () => undefined);
+	await running;
+	request.destroy();
+	expect(await ended).toBe(true);
+	while (router.load().inFlight > 0) {
+		await new Promise(resolve => { // eslint-disable-line no-await-in-loop
+			setImmediate(resolve);
+		});
+	}
+});
+
+test('an answer of a cancelled attempt never reaches a later request', async () => {
+	const upstream = await startUpstream(cleanup, (request, response) => {
+		const wait = request.url === '/slow' ? 150 : 0;
+		setTimeout(() => {
+			response.end(request.url);
+		}, wait);
+	}, {slots: 4});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	const agent = new http.Agent({keepAlive: true});
+	cleanup.add(() => {
+		agent.destroy();
+	});
+	const answers = await Promise.all(Array.from({length: 60}, async (_, index) => {
+		const isSlow = index % 3 === 0;
+		const path = isSlow ? '/inventory/slow' : `/inventory/${index}`;
+		return {path, answer: await call(port, {path, agent, headers: {'x-filbertwell-deadline-ms': isSlow ? '40' : '5000'}})};
+	}));
+	for (const {path, answer} of answers) {
+		if (answer.status === 200) {
+			expect(`/inventory${answer.body}`).toBe(path);
+		} else {
+			expect(answer.headers['x-filbertwell-outcome']).toMatch(/^(?:not-run|in-doubt)$/v);
+		}
+	}
+});
+
+test('a stop lets a request in progress end', async () => {
+	let finish: () => void = () => undefined;
+	let started: () => void = () => undefined;
+	const running = new Promise<void>(resolve => {
+		started = resolve;
+	});
+	const upstream = await startUpstream(cleanup, (_request, response) => {
+		finish = () => {
+			response.end('whole');
+		};
+
+		started();
+	});
+	const {port, server} = await startEntry(cleanup, [serviceWith([upstream])]);
+	const answer = call(port);
+	await running;
+	const closed = server.close();
+	finish();
+	expect(await answer).toMatchObject({status: 200, body: 'whole', isWhole: true});
+	await closed;
+});
+
+test('a slow sender is cut off by the time limit, and nothing runs', async () => {
+	let runs = 0;
+	const upstream = await startUpstream(cleanup, (_request, response) => {
+		runs += 1;
+		response.end();
+	});
+	const {port} = await startEntry(cleanup, [serviceWith([upstream])]);
+	const received = await callRaw(port, 'POST /inventory/a HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\nx-filbertwell-deadline-ms: 100\r\n\r\nab');
+	expect(received).toMatch(/^HTTP\/1\.1 408 /v);
+	expect(received).toContain('x-filbertwell-outcome: not-run');
+	expect(runs).toBe(0);
+});
--- /dev/null
+++ b/packages/routing/src/__tests__/createRouter.test.ts
@@ -0,0 +1,305 @@
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {createTestRouter, endpoint, route} from './testRouter.js';
+
+const order = route({name: 'order', kind: 'atMostOnce', hedge: false});
+
+test('without endpoints or service a request is refused as not run', async () => {
+	const {ask} = createTestRouter([]);
+	expect(await ask()).toMatchObject({kind: 'not-run', reason: 'noEndpoint', attempts: 0});
+	expect(await ask({service: 'other'})).toMatchObject({kind: 'not-run', reason: 'unknownService', attempts: 0});
+});
+
+test('a request whose deadline has passed is refused before any attempt', async () => {
+	const {ask, sent} = createTestRouter([endpoint('a')]);
+	expect(await ask({deadlineAtMs: 0})).toMatchObject({kind: 'not-run', reason: 'deadlineTooShort'});
+	expect(sent).toHaveLength(0);
+});
+
+test('a request waits until a slot is free and then binds', async () => {
+	const {ask, sent, timers} = createTestRouter([endpoint('a', {slots: 1})]);
+	const first = ask();
+	const second = ask();
+	await timers.settle();
+	expect(sent).toHaveLength(1);
+	sent[0]!.answer();
+	await timers.settle();
+	expect(sent).toHaveLength(2);
+	sent[1]!.answer();
+	expect(await first).toMatchObject({kind: 'answered'});
+	expect(await second).toMatchObject({kind: 'answered'});
+});
+
+test('a slot stays taken until the body of the answer has ended', async () => {
+	const {ask, sent, timers} = createTestRouter([endpoint('a', {slots: 1})]);
+	void ask();
+	void ask();
+	await timers.settle();
+	const end = sent[0]!.begin();
+	await timers.settle();
+	expect(sent).toHaveLength(1);
+	end('complete');
+	await timers.settle();
+	expect(sent).toHaveLength(2);
+});
+
+test('a waiting request is refused as not run while its deadline could still be told', async () => {
+	const {ask, timers, sent} = createTestRouter([endpoint('a', {slots: 1})]);
+	void ask();
+	const waiting = ask();
+	await timers.advance(990);
+	expect(await waiting).toMatchObject({kind: 'not-run', reason: 'waitedTooLong', attempts: 0});
+	expect(sent).toHaveLength(1);
+});
+
+test('work that cannot be done in time is refused at arrival, not after a wait', async () => {
+	const {ask, learn, timers} = createTestRouter([endpoint('a', {slots: 1})]);
+	await learn(25, 100);
+	const outcomes = Array.from({length: 20}, async () => ask());
+	await timers.settle();
+	const refused = await Promise.all(outcomes.slice(-5));
+	expect(refused.every(outcome => outcome.kind === 'not-run' && outcome.reason === 'deadlineTooShort')).toBe(true);
+	expect(timers.now()).toBe(2500);
+});
+
+test.each([
+	{
+		name: 'idempotent and failed', request: {}, first: {kind: 'failed', reason: 'reset'} as const, attempts: 2,
+	},
+	{
+		name: 'at most once and failed', request: {route: order}, first: {kind: 'failed', reason: 'reset'} as const, attempts: 1,
+	},
+	{
+		name: 'at most once and proved not run', request: {route: order}, first: {
+			kind: 'not-run', reason: 'refused', cause: 'refused', report: undefined,
+		} as const, attempts: 2,
+	},
+	{
+		name: 'not replayable', request: {replayable: false}, first: {kind: 'failed', reason: 'reset'} as const, attempts: 1,
+	},
+])('a retry after an attempt that was $name', async ({request, first, attempts}) => {
+	const {ask, learn, sent, timers} = createTestRouter([endpoint('a'), endpoint('b')]);
+	await learn(30, 10);
+	const outcome = ask(request);
+	await timers.settle();
+	const failed = sent[0]!;
+	failed.settle(first);
+	await timers.settle();
+	expect(sent).toHaveLength(attempts);
+	for (const attempt of sent.slice(1)) {
+		expect(attempt.endpoint).not.toBe(failed.endpoint);
+		attempt.answer();
+	}
+
+	const expected = attempts === 2 ? 'answered' : 'in-doubt';
+	expect(await outcome).toMatchObject({kind: expected, attempts});
+});
+
+test('a refusal after an attempt that may have run is in doubt, not not-run', async () => {
+	const {ask, learn, sent, timers} = createTestRouter([endpoint('a'), endpoint('b')]);
+	await learn(30, 10);
+	const outcome = ask();
+	await timers.settle();
+	sent[0]!.settle({kind: 'failed', reason: 'reset'});
+	await timers.settle();
+	for (let index = 1; index < sent.length; index += 1) {
+		sent[index]!.settle({
+			kind: 'not-run', reason: 'refused', cause: 'refused', report: undefined,
+		});
+		await timers.settle(); // eslint-disable-line no-await-in-loop
+	}
+
+	expect(await outcome).toMatchObject({kind: 'in-doubt'});
+});
+
+test('a hedge runs in another zone, and the loser is cancelled', async () => {
+	const {ask, learn, sent, timers} = createTestRouter([endpoint('a', {slots: 4}), endpoint('b', {availabilityZone: 'n2', slots: 4})]);
+	await learn(60, 100);
+	const outcome = ask();
+	await timers.advance(150);
+	expect(sent).toHaveLength(1);
+	await timers.advance(100);
+	expect(sent).toHaveLength(2);
+	expect(sent[1]!.endpoint).not.toBe(sent[0]!.endpoint);
+	expect(sent[1]!.attempt.cause).toBe('hedge');
+	sent[1]!.answer();
+	expect(await outcome).toMatchObject({kind: 'answered', answer: sent[1]!.endpoint});
+	expect(sent[0]!.attempt.signal.aborted).toBe(true);
+});
+
+test('an order is never hedged', async () => {
+	const {ask, learn, sent, timers} = createTestRouter([endpoint('a', {slots: 4}), endpoint('b', {availabilityZone: 'n2', slots: 4})]);
+	await learn(60, 100);
+	void ask({route: {...order, hedge: true}});
+	await timers.advance(900);
+	expect(sent).toHaveLength(1);
+});
+
+test('the attempt of a caller that has gone is cancelled, and its slot is free', async () => {
+	const {ask, router, sent, timers} = createTestRouter([endpoint('a')]);
+	const caller = new AbortController();
+	const outcome = ask({signal: caller.signal});
+	await timers.settle();
+	caller.abort();
+	expect(await outcome).toMatchObject({kind: 'cancelled', written: true});
+	await timers.settle();
+	expect(sent[0]!.attempt.signal.aborted).toBe(true);
+	expect(router.load()).toStrictEqual({inFlight: 0, queued: 0});
+});
+
+test('a waiting caller that goes leaves the queue', async () => {
+	const {ask, router, timers} = createTestRouter([endpoint('a', {slots: 1})]);
+	void ask();
+	const caller = new AbortController();
+	const outcome = ask({signal: caller.signal});
+	await timers.settle();
+	expect(router.load().queued).toBe(1);
+	caller.abort();
+	expect(await outcome).toMatchObject({kind: 'cancelled', written: false});
+	expect(router.load().queued).toBe(0);
+});
+
+test('a deadline that passes between the wait and the start sends nothing', async () => {
+	const {ask, sent, timers} = createTestRouter([endpoint('a')]);
+	const outcome = ask({deadlineAtMs: timers.now() + 0.001});
+	await timers.advance(1);
+	expect(await outcome).toMatchObject({kind: sent.length === 0 ? 'not-run' : 'in-doubt'});
+});
+
+test('the deadline ends an attempt in doubt', async () => {
+	const {ask, timers} = createTestRouter([endpoint('a')]);
+	const outcome = ask();
+	await timers.advance(1000);
+	expect(await outcome).toMatchObject({kind: 'in-doubt', reason: 'deadline'});
+});
+
+test.each(['report', 'instanceList', 'drain'] as const)('an endpoint that is leaving by %s gets no new work', async signal => {
+	const endpoints = [endpoint('a'), endpoint('b')];
+	const drains = signal === 'drain'
+		? [{
+			target: 'endpoint' as const, name: 'a', pace: 'immediate' as const, reason: 'test',
+		}]
+		: [];
+	const {ask, router, sent, timers} = createTestRouter(endpoints, {}, {drains});
+	if (signal === 'report') {
+		router.observeReport('a', {
+			state: 'leaving', slots: 2, inUse: 0, queued: 0,
+		}, 0);
+	} else if (signal === 'instanceList') {
+		router.setLeaving(['a']);
+	}
+
+	void ask();
+	void ask();
+	await timers.settle();
+	expect(sent.map(attempt => attempt.endpoint)).toStrictEqual(['b', 'b']);
+});
+
+test('a region in which steering chose a zone is not left, and without a choice the others serve', async () => {
+	const endpoints = [endpoint('a', {slots: 1}), endpoint('s', {availabilityZone: 's1', slots: 1})];
+	const steered = createTestRouter(endpoints, {chooseZone: () => 'n1'});
+	void steered.ask();
+	void steered.ask();
+	await steered.timers.settle();
+	expect(steered.sent.map(attempt => attempt.endpoint)).toStrictEqual(['a']);
+	const free = createTestRouter(endpoints);
+	void free.ask();
+	void free.ask();
+	await free.timers.settle();
+	expect(free.sent.map(attempt => attempt.endpoint)).toStrictEqual(['a', 's']);
+});
+
+test('a link in debt carries no new request until the debt is paid', async () => {
+	const {ask, sent, timers} = createTestRouter([endpoint('s', {availabilityZone: 's1', slots: 4})], {}, {
+		linkCaps: [{between: ['north', 'south'], megabitsPerSecond: 8}],
+	});
+	void ask();
+	await timers.settle();
+	sent[0]!.attempt.countBytes(0, 1_000_000);
+	void ask();
+	await timers.settle();
+	expect(sent).toHaveLength(1);
+	await timers.advance(600);
+	expect(sent).toHaveLength(2);
+});
+
+test('a slow endpoint is ejected by what is seen, whatever it reports', async () => {
+	const {ask, learn, router, sent, timers} = createTestRouter([endpoint('a'), endpoint('b'), endpoint('c')]);
+	await learn(60, 20);
+	for (let index = 0; index < 60; index += 1) {
+		const outcome = ask({deadlineAtMs: timers.now() + 10_000});
+		await timers.advance(20); // eslint-disable-line no-await-in-loop
+		const slow = sent.filter(attempt => attempt.endpoint === 'a');
+		for (const attempt of sent.splice(0)) {
+			if (attempt.endpoint !== 'a') {
+				attempt.answer();
+			}
+		}
+
+		await timers.advance(slow.length > 0 ? 200 : 0); // eslint-disable-line no-await-in-loop
+		for (const attempt of [...slow, ...sent.splice(0)]) {
+			attempt.answer();
+		}
+
+		router.observeReport('a', {
+			state: 'serving', slots: 2, inUse: 0, queued: 0,
+		}, timers.now());
+		await outcome; // eslint-disable-line no-await-in-loop
+	}
+
+	const states = router.state()[0]!.endpoints;
+	expect(states.find(({id}) => id === 'a')).toMatchObject({health: 'ejected', ejectedFor: 'slow'});
+	expect(states.filter(({health}) => health === 'healthy')).toHaveLength(2);
+});
+
+test('attempts never pass 1.1 for each request, and no endpoint passes its slots, whatever fails', async () => {
+	await fc.assert(fc.asyncProperty(fc.array(fc.constantFrom('answer', 'error', 'failed', 'notRun', 'hang'), {minLength: 30, maxLength: 120}), async ends => {
+		const {ask, sent, timers, router} = createTestRouter([endpoint('a', {slots: 2}), endpoint('b', {availabilityZone: 'n2', slots: 2})]);
+		let attempts = 0;
+		const outcomes = [];
+		for (const end of ends) {
+			outcomes.push(ask());
+			await timers.advance(7); // eslint-disable-line no-await-in-loop
+			for (const {inFlight} of router.state()[0]!.endpoints) {
+				expect(inFlight).toBeLessThanOrEqual(2);
+			}
+
+			attempts += sent.length;
+			for (const attempt of sent.splice(0)) {
+				switch (end) {
+					case 'answer':
+					case 'error': {
+						attempt.answer(end === 'answer' ? 200 : 500);
+
+						break;
+					}
+
+					case 'failed': {
+						attempt.settle({kind: 'failed', reason: 'reset'});
+
+						break;
+					}
+
+					case 'notRun': {
+						attempt.settle({
+							kind: 'not-run', reason: 'shed', cause: 'refused', report: undefined,
+						});
+
+						break;
+					}
+
+					case 'hang': {
+						break;
+					}
+				}
+			}
+		}
+
+		await timers.advance(5000);
+		attempts += sent.length;
+		const settled = await Promise.all(outcomes);
+		expect(settled).toHaveLength(ends.length);
+		expect(attempts).toBeLessThanOrEqual(Math.floor(1.1 * ends.length));
+		expect(router.load()).toStrictEqual({inFlight: 0, queued: 0});
+	}), {seed: 7, numRuns: 40});
+});
--- a/packages/routing/src/requestRun.ts
+++ b/packages/routing/src/requestRun.ts
@@ -163,6 +163,12 @@
 				return request.signal.aborted ? {kind: 'cancelled', written: ranPerhaps, attempts} : refused(lease.reason, lease.detail);
 			}
 
+			if (endedBy !== 'none') {
+				// The deadline or the caller came between the wait and the start.
+				lease.release();
+				return endedBy === 'caller' ? {kind: 'cancelled', written: ranPerhaps, attempts} : refused('waitedTooLong', 'the deadline passed before the request was sent');
+			}
+
 			const primary = start(lease, attempts === 0 ? 'first' : 'retry');
 			startProbe();
 			const {attempt, outcome, outcomes} = await awaitHedged({ // eslint-disable-line no-await-in-loop
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -209,6 +209,10 @@
 			: refusal('deadlineTooShort', 'the wait for an endpoint would pass the deadline');
 	};
 
+	/** Endpoints that have failed a request serve it again where there are no others. */
+	const unlessAll = (excluded: readonly EndpointTracker[], tiers: readonly Tier[]): readonly EndpointTracker[] =>
+		tiers.some(tier => tier.trackers.some(tracker => !excluded.includes(tracker) && !isLeaving(tracker))) ? excluded : [];
+
 	const otherZone = ({tracker}: Lease, tiers: readonly Tier[]): string | undefined => {
 		const zone = tracker.endpoint.availabilityZone;
 		return tiers.some(tier => tier.trackers.some(({endpoint}) => endpoint.availabilityZone !== zone)) ? zone : undefined;
@@ -240,7 +244,7 @@
 				retryBudget,
 				hedgeBudget,
 				onAttempt,
-				acquire: async excluded => acquire(request, {...needBase, excluded, otherThanZone: undefined}, duration, lane),
+				acquire: async excluded => acquire(request, {...needBase, excluded: unlessAll(excluded, tiers), otherThanZone: undefined}, duration, lane),
 				tryAcquireElsewhere(first) {
 					const leased = queue.size() > 0
 						? undefined
