--- a/packages/entry/src/__tests__/testEntry.ts
+++ b/packages/entry/src/__tests__/testEntry.ts
@@ -173,7 +173,6 @@
 		log: silentLogger,
 		metrics,
 		self: {id: 'e1', region: 'north', availabilityZone: 'n1'},
-		chooseZone: () => undefined,
 	});
 	router.configure(configuration);
 	let isServing = true;
--- a/packages/entry/src/__tests__/wholeAnswers.test.ts
+++ b/packages/entry/src/__tests__/wholeAnswers.test.ts
@@ -25,13 +25,22 @@
 	});
 };
 
+/** Whether a request gets a whole answer; a reset connection counts as none. */
+const isAnsweredWhole = async (port: number): Promise<boolean> => {
+	try {
+		const {isWhole} = await call(port);
+		return isWhole;
+	} catch {
+		return false;
+	}
+};
+
 test.each([
 	{name: 'stops short of its length', bytes: 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc'},
 	{name: 'stops within chunks', bytes: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nabcde\r\n'},
 ])('an answer that $name never reaches the caller as whole', async ({bytes}) => {
 	const {port} = await startEntry(cleanup, [serviceWith([await startRawUpstream(cleanup, answerRaw(bytes))])]);
-	const wholeness = call(port);
-	await expect(wholeness.catch(() => false).then(({isWhole}) => isWhole)).resolves.toBe(false); // eslint-disable-line promise/prefer-await-to-then -- a reset counts as not whole
+	expect(await isAnsweredWhole(port)).toBe(false);
 });
 
 test.each([
--- a/packages/entry/src/outcomeAnswer.ts
+++ b/packages/entry/src/outcomeAnswer.ts
@@ -9,6 +9,7 @@
 
 const statusOfRefusal: Readonly<Record<RefusalReason, number>> = {
 	unknownService: 404,
+	noZone: 503,
 	deadlineTooShort: 503,
 	queueFull: 503,
 	displaced: 503,
--- a/packages/measure/src/requestPath/bench.ts
+++ b/packages/measure/src/requestPath/bench.ts
@@ -116,7 +116,6 @@
 		log: silentLogger,
 		metrics: {increment: () => undefined},
 		self: selfOf(index),
-		chooseZone: () => undefined,
 		fetchReport: upstreams.fetchReport,
 		slotDivision: policy,
 	});
--- a/packages/routing/src/__tests__/createRouter.test.ts
+++ b/packages/routing/src/__tests__/createRouter.test.ts
@@ -195,6 +195,12 @@
 	expect(sent.map(attempt => attempt.endpoint)).toStrictEqual(['b', 'b']);
 });
 
+test('a request for which steering has no zone is refused as not run', async () => {
+	const {ask, sent} = createTestRouter([endpoint('a')], {chooseZone: () => undefined});
+	expect(await ask()).toMatchObject({kind: 'not-run', reason: 'noZone', attempts: 0});
+	expect(sent).toHaveLength(0);
+});
+
 test('a region in which steering chose a zone is not left, and without a choice the others serve', async () => {
 	const endpoints = [endpoint('a', {slots: 1}), endpoint('s', {availabilityZone: 's1', slots: 1})];
 	const steered = createTestRouter(endpoints, {chooseZone: () => 'n1'});
--- a/packages/routing/src/__tests__/testRouter.ts
+++ b/packages/routing/src/__tests__/testRouter.ts
@@ -106,7 +106,6 @@
 		log: silentLogger,
 		metrics: {increment: () => undefined},
 		self: {id: 'e1', region: 'north', availabilityZone: 'n1'},
-		chooseZone: () => undefined,
 		schedule: timers.schedule,
 		...options,
 	});
--- a/packages/routing/src/createRouter.ts
+++ b/packages/routing/src/createRouter.ts
@@ -32,8 +32,8 @@
 	readonly metrics: Pick<Metrics, 'increment'>;
 	/** This entry. */
 	readonly self: Self;
-	/** Zone of the next request by steering; `undefined` leaves the choice to locality. */
-	readonly chooseZone: (service: string) => string | undefined;
+	/** Zone of the next request by steering; `undefined` refuses it. Without steering, locality chooses. */
+	readonly chooseZone?: (service: string, requestClass: RequestClass) => string | undefined;
 	/** Asks an endpoint for its load; without it only reports on answers and by `observeReport` are known. */
 	readonly fetchReport?: FetchReport;
 	/** Timers; those of the process by default. */
@@ -88,7 +88,7 @@
 		linkCaps,
 		division: slotDivision,
 		fetchReport,
-		chooseZone: () => chooseZone(service),
+		chooseZone: chooseZone === undefined ? undefined : requestClass => chooseZone(service, requestClass),
 		weightOf: tenant => weights.get(tenant) ?? defaultWeight,
 		onAttempt(cause) {
 			metrics.increment('attempts_total', {service, cause});
--- a/packages/routing/src/routedRequest.ts
+++ b/packages/routing/src/routedRequest.ts
@@ -19,6 +19,7 @@
 /** Why a request was refused before any endpoint ran it. */
 export type RefusalReason =
 	| 'unknownService'
+	| 'noZone'
 	| 'deadlineTooShort'
 	| 'queueFull'
 	| 'displaced'
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -34,7 +34,8 @@
 /** Parameters of a service's router. */
 export type ServiceRouterOptions = PoolOptions & {
 	readonly schedule: Schedule;
-	readonly chooseZone: () => string | undefined;
+	/** Zone by steering; absent without steering. */
+	readonly chooseZone: ((requestClass: RequestClass) => string | undefined) | undefined;
 	readonly weightOf: (tenant: string) => number;
 	readonly onAttempt: (cause: AttemptCause) => void;
 	readonly fetchReport: FetchReport;
@@ -226,7 +227,13 @@
 		},
 		async route(request, send) {
 			const duration = durations.ofRoute(request.route.name);
-			const zone = chooseZone();
+			const zone = chooseZone?.(request.route.requestClass);
+			if (chooseZone !== undefined && zone === undefined) {
+				return {
+					kind: 'not-run', reason: 'noZone', detail: 'no availability zone may take more of this service now', attempts: 0,
+				};
+			}
+
 			const tiers = tiersFor(zone);
 			const isLong = duration.isLong();
 			const lane = `${tiers[0]?.trackers[0]?.region ?? ''}/${isLong ? 'long' : 'short'}`;
