--- a/packages/measure/src/requestPath/bench.ts
+++ b/packages/measure/src/requestPath/bench.ts
@@ -68,13 +68,14 @@
 
 const regionOf = (zone: string): string => zone[0]!;
 
-const withoutOrders: Orders = {
+/** Orders of a bench without orders. */
+export const withoutOrders: Orders = {
 	submit: async () => ({kind: 'not-run', reason: 'the bench runs no orders'}),
 	ask: async () => ({state: 'absent', answer: undefined}),
 	stop: async () => undefined,
 };
 
-const intentWith = (endpoints: readonly Endpoint[], {routes, tenants = []}: BenchOptions): Intent => ({
+const intentWith = (endpoints: readonly Endpoint[], routes: readonly Route[], tenants: readonly Tenant[]): Intent => ({
 	deployment: 'bench',
 	regions,
 	services: [{
@@ -92,6 +93,22 @@
 	tenants,
 });
 
+/**
+ * Configuration of a bench.
+ *
+ * @param endpoints - Endpoints of its one service.
+ * @param routes - Routes of the service.
+ * @param tenants - Weights of tenants.
+ * @returns The configuration.
+ */
+export const benchConfiguration = (endpoints: readonly Endpoint[], routes: readonly Route[], tenants: readonly Tenant[]): Configuration => ({
+	version: 1,
+	changeId: 'bench',
+	author: 'bench',
+	acceptedAt: '2026-01-01T00:00:00Z',
+	intent: intentWith(endpoints, routes, tenants),
+});
+
 type Entry = {
 	readonly server: CallerServer;
 	readonly router: Router;
@@ -172,13 +189,7 @@
 		random: createRandom((options.seed * 1000) + index),
 		ledger,
 	})));
-	const configuration: Configuration = {
-		version: 1,
-		changeId: 'bench',
-		author: 'bench',
-		acceptedAt: '2026-01-01T00:00:00Z',
-		intent: intentWith(upstreams.map(({endpoint}) => endpoint), options),
-	};
+	const configuration = benchConfiguration(upstreams.map(({endpoint}) => endpoint), options.routes, options.tenants ?? []);
 	const entries = await Promise.all(Array.from({length: options.entries}, async (_, index) => startEntry(options, configuration, index)));
 	return {
 		addresses: entries.map(({server}) => server.address),
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -15,7 +15,7 @@
 import {type Refusal, runRequest} from './requestRun.js';
 import {type FetchReport, createRoomSearch} from './roomSearch.js';
 import type {RefusalReason, RoutedRequest, RouteOutcome} from './routedRequest.js';
-import {createTenantShares} from './tenantShares.js';
+import {createTenantShares, slotsLeftToOthers} from './tenantShares.js';
 import type {Lease} from './runningAttempt.js';
 import type {Schedule} from './scheduler.js';
 
@@ -44,7 +44,6 @@
 /** Room that other entries leave shows only in reports, so a waiting queue looks again. */
 const lookAgainMs = 10;
 
-const slotsLeftToOthers = 1;
 const useWithoutContention = 0.6;
 
 const refusal = (reason: RefusalReason, detail: string): Refusal => ({kind: 'refused', reason, detail});
@@ -106,10 +105,10 @@
 		};
 	};
 
-	/** Whether a tenant that uses more than its share must leave the last slot to others. */
+	/** Whether a tenant that uses more than its share must leave the last slots to others. */
 	const mustLeaveLast = (tenant: string): boolean => {
 		const slots = pool.ownedSlots();
-		return inFlight >= slots - slotsLeftToOthers && pool.meanUse.value() > useWithoutContention && shares.isOverShare(tenant, slots);
+		return inFlight >= slots - slotsLeftToOthers(slots) && pool.meanUse.value() > useWithoutContention && shares.isOverShare(tenant, slots);
 	};
 
 	const tryLease = (need: Need, duration: RouteDuration, tenant: string): Lease | undefined => {
--- a/packages/routing/src/tenantShares.ts
+++ b/packages/routing/src/tenantShares.ts
@@ -1,8 +1,9 @@
 /**
  * Which tenants use more than their share. A tenant's use is its mean number of requests in
  * flight over about two seconds; its share is its weight among the tenants that sent lately. A
- * tenant well over its share leaves one slot of this entry free, so that a request of another
- * tenant finds a slot at once and the endpoints keep room for other entries to borrow. A tenant
+ * tenant well over its share leaves some slots of this entry free, as many as the square root of
+ * all: about the spread of the number in use. A request of another tenant then finds a slot at
+ * once, and the endpoints keep room for other entries to borrow. A tenant
  * that is alone is never over its share.
  */
 import type {Clock} from '@filbertwell/utils/clock';
@@ -30,6 +31,14 @@
 const sweepIntervalMs = 200;
 const tolerance = 1.5;
 
+/**
+ * Slots that a tenant over its share leaves to others.
+ *
+ * @param slots - Slots of this entry.
+ * @returns At least one.
+ */
+export const slotsLeftToOthers = (slots: number): number => Math.max(1, Math.floor(Math.sqrt(slots)));
+
 /**
  * Creates shares.
  *
