--- a/packages/entry/src/loadReportParser.ts
+++ b/packages/entry/src/loadReportParser.ts
@@ -5,6 +5,7 @@
 import {z} from 'zod';
 
 const longestReport = 1000;
+const rememberedReports = 500;
 const count = z.number().min(0).max(1_000_000);
 
 const reportSchema = z.object({
@@ -31,3 +32,26 @@
 		return undefined;
 	}
 };
+
+/**
+ * Creates a parser that remembers what it has read: endpoints say the same few things again
+ * and again, on each answer.
+ *
+ * @returns The parser; its memory is bounded.
+ */
+export const createLoadReportParser = (): ((text: string) => LoadReport | undefined) => {
+	const known = new Map<string, LoadReport | undefined>();
+	return text => {
+		if (known.has(text)) {
+			return known.get(text);
+		}
+
+		const report = parseLoadReport(text);
+		if (known.size >= rememberedReports) {
+			known.clear();
+		}
+
+		known.set(text, report);
+		return report;
+	};
+};
--- a/packages/entry/src/upstreamClient.ts
+++ b/packages/entry/src/upstreamClient.ts
@@ -15,7 +15,7 @@
 import {deadlineHeader, loadHeader, upstreamOutcomeHeader} from '@filbertwell/types/headers';
 import type {Endpoint} from '@filbertwell/types/intent';
 import type {LoadReport} from '@filbertwell/types/loadReport';
-import {parseLoadReport} from './loadReportParser.js';
+import {createLoadReportParser} from './loadReportParser.js';
 
 /** Body of a request for an upstream. */
 export type UpstreamBody =
@@ -73,11 +73,6 @@
 	return Array.isArray(value) ? value[0] : value;
 };
 
-const reportOf = (message: IncomingMessage): LoadReport | undefined => {
-	const text = firstValue(message, loadHeader);
-	return text === undefined ? undefined : parseLoadReport(text);
-};
-
 const errorText = (endpoint: Endpoint, error: NodeJS.ErrnoException): string => `${endpoint.id}: ${error.code ?? error.message}`;
 
 const writeBody = (outgoing: ClientRequest, body: UpstreamBody, countBytes: Attempt['countBytes']): void => {
@@ -121,6 +116,7 @@
 		keepAlive: true, maxSockets: connectionsPerEndpoint, maxFreeSockets: connectionsPerEndpoint, timeout: idleConnectionMs, scheduling: 'lifo',
 	});
 	const singleConnections = new Agent({keepAlive: false});
+	const parseLoadReport = createLoadReportParser();
 
 	const open = (endpoint: Endpoint, attempt: Attempt, {method, path, headers, mayReuseConnection}: UpstreamRequest): ClientRequest => sendRequest({
 		host: endpoint.host,
@@ -169,7 +165,8 @@
 		};
 
 		const answer = (incoming: IncomingMessage): AttemptOutcome<UpstreamAnswer> => {
-			const report = reportOf(incoming);
+			const reportText = firstValue(incoming, loadHeader);
+			const report = reportText === undefined ? undefined : parseLoadReport(reportText);
 			if (firstValue(incoming, upstreamOutcomeHeader) === 'not-run') {
 				discard(incoming);
 				finish();
--- a/packages/routing/src/__tests__/queues.test.ts
+++ b/packages/routing/src/__tests__/queues.test.ts
@@ -25,7 +25,9 @@
 test('tenants that always wait share by weight', () => {
 	const queue = createFairQueue<{tenant: string; costMs: number}>(tenant => tenant === 'a' ? 3 : 1);
 	for (let index = 0; index < 400; index += 1) {
-		queue.push({tenant: 'a', costMs: 10}, {tenant: 'b', costMs: 10});
+		for (const tenant of ['a', 'b']) {
+			queue.push({tenant, costMs: 10});
+		}
 	}
 
 	const taken = Array.from({length: 400}, () => queue.take()!.tenant);
@@ -92,10 +94,16 @@
 test('classes start in order, and a lane without room does not hold the others up', () => {
 	const log: string[] = [];
 	const queue = createClassQueue(evenWeight);
-	queue.push(waiter('background', log));
-	queue.push(waiter('interactive', log, 'long', () => false));
-	queue.push(waiter('interactive', log, 'short'));
-	queue.push(waiter('critical', log));
+	const waiters = [
+		waiter('background', log),
+		waiter('interactive', log, 'long', () => false),
+		waiter('interactive', log, 'short'),
+		waiter('critical', log),
+	];
+	for (const waiting of waiters) {
+		queue.push(waiting);
+	}
+
 	queue.startReady();
 	expect(log).toStrictEqual(['start critical x', 'start interactive short', 'start background x']);
 	expect(queue.size()).toBe(1);
--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -56,7 +56,7 @@
 const longRoom = 1;
 
 /** Whether an endpoint takes no new work. */
-export const isLeaving = (tracker: EndpointTracker): boolean => tracker.leavingSignals().length > 0;
+export const isLeaving = (tracker: EndpointTracker): boolean => tracker.isLeaving();
 
 const ownsFreeSlot = (tracker: EndpointTracker, isLong: boolean): boolean => {
 	const {slots, forLong} = tracker.owned();
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -100,6 +100,10 @@
 		find: endpointId => byId.get(endpointId),
 		choose: need => choose(need, trackers),
 		chooseProbe(tiers) {
+			if (!trackers.some(({health}) => health.probeIsDue())) {
+				return undefined;
+			}
+
 			const due = tiers
 				.flatMap(tier => tier.trackers)
 				.find(tracker => tracker.health.probeIsDue() && tracker.inFlight() === 0 && !isLeaving(tracker));
--- a/packages/routing/src/endpointTracker.ts
+++ b/packages/routing/src/endpointTracker.ts
@@ -51,6 +51,8 @@
 	readonly stall: () => number;
 	readonly setLeaving: (signal: LeavingSignal, isLeaving: boolean) => void;
 	readonly leavingSignals: () => readonly LeavingSignal[];
+	/** Whether it takes no new work. */
+	readonly isLeaving: () => boolean;
 };
 
 const nothingOwned: OwnedSlots = {slots: 0, forLong: 0};
@@ -159,5 +161,6 @@
 			}
 		},
 		leavingSignals: () => [...leaving],
+		isLeaving: () => leaving.size > 0,
 	};
 };
