--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -10,6 +10,7 @@
 import {type EndpointTracker, type LeavingSignal, createEndpointTracker} from './endpointTracker.js';
 import type {Self} from './localityOrder.js';
 import type {EjectionReason, HealthState} from './outlierDetection.js';
+import {type MeanUse, createMeanUse} from './reportedLoad.js';
 import {type SharingEntry, divideSlots} from './slotOwnership.js';
 
 /** What the pool is made from. */
@@ -28,12 +29,16 @@
 	readonly find: (endpointId: string) => EndpointTracker | undefined;
 	readonly choose: (need: Need) => EndpointTracker | undefined;
 	readonly setLeaving: (signal: LeavingSignal, isLeaving: (endpointId: string) => boolean) => void;
+	/** Slots of healthy endpoints that this entry owns. */
+	readonly ownedSlots: () => number;
+	/** Mean use of the endpoints by their reports. */
+	readonly meanUse: MeanUse;
 	/** Whether any endpoint takes new work. */
 	readonly hasUsable: () => boolean;
 };
 
 /** Parameters of a pool. */
-export type PoolOptions = ChoiceOptions & {
+export type PoolOptions = Omit<ChoiceOptions, 'isTooFull'> & {
 	readonly clock: Clock;
 	readonly self: Self;
 	readonly onHealthChange: (endpointId: string, state: HealthState, reason: EjectionReason | undefined) => void;
@@ -47,7 +52,8 @@
  */
 export const createEndpointPool = (options: PoolOptions): EndpointPool => {
 	const {clock, self, division, onHealthChange} = options;
-	const choose = createEndpointChoice(options);
+	const meanUse = createMeanUse();
+	const choose = createEndpointChoice({...options, isTooFull: meanUse.isTooFull});
 	let byId: ReadonlyMap<string, EndpointTracker> = new Map();
 	let trackers: readonly EndpointTracker[] = [];
 
@@ -62,6 +68,7 @@
 			endpoint,
 			region: regionOf(endpoint.availabilityZone) ?? '',
 			isNew: byId.size > 0,
+			meanUse,
 			onHealthChange(state, reason) {
 				onHealthChange(endpoint.id, state, reason);
 			},
@@ -95,6 +102,8 @@
 				tracker.setLeaving(signal, isLeavingNow(tracker.endpoint.id));
 			}
 		},
+		ownedSlots: () => trackers.reduce((total, tracker) => total + (tracker.health.state() === 'healthy' ? tracker.owned().slots : 0), 0),
+		meanUse,
 		hasUsable: () => trackers.some(tracker => !isLeaving(tracker)),
 	};
 };
--- a/packages/routing/src/endpointTracker.ts
+++ b/packages/routing/src/endpointTracker.ts
@@ -7,7 +7,7 @@
 import type {Clock} from '@filbertwell/utils/clock';
 import {createAdaptiveLimit} from './adaptiveLimit.js';
 import {type EndpointHealth, type HealthChange, createEndpointHealth} from './outlierDetection.js';
-import {createReportedLoad} from './reportedLoad.js';
+import {createReportedLoad, type MeanUse} from './reportedLoad.js';
 import type {OwnedSlots} from './slotOwnership.js';
 
 /** One request in a slot of the endpoint. */
@@ -36,6 +36,8 @@
 	readonly setOwned: (owned: OwnedSlots) => void;
 	/** Slots that are free for this entry to borrow, by estimate. */
 	readonly free: () => number;
+	/** How much the latest report is worth by now, from 0 to 1. */
+	readonly trust: () => number;
 	/** Slots in use by all entries, by estimate. */
 	readonly inUse: () => number;
 	readonly slots: () => number;
@@ -59,6 +61,7 @@
 	readonly endpoint: Endpoint;
 	readonly region: string;
 	readonly isNew: boolean;
+	readonly meanUse: MeanUse;
 	readonly onHealthChange: HealthChange;
 };
 
@@ -68,10 +71,10 @@
  * @param options - The endpoint and where it is.
  * @returns The tracker, with nothing owned.
  */
-export const createEndpointTracker = ({clock, endpoint, region, isNew, onHealthChange}: TrackerOptions): EndpointTracker => {
+export const createEndpointTracker = ({clock, endpoint, region, isNew, meanUse, onHealthChange}: TrackerOptions): EndpointTracker => {
 	const health = createEndpointHealth(clock, isNew, onHealthChange);
 	const limit = createAdaptiveLimit(clock, endpoint.slots);
-	const load = createReportedLoad(clock);
+	const load = createReportedLoad(clock, meanUse);
 	const flights = new Set<Flight>();
 	const leaving = new Set<LeavingSignal>();
 	let longInFlight = 0;
@@ -114,10 +117,15 @@
 			owned = newOwned;
 		},
 		free: () => slots() - others() - flights.size,
+		trust: load.trust,
 		inUse: () => Math.min(slots(), others() + flights.size),
 		slots,
 		observeReport(report, atMs, isOnAnswer) {
 			load.observe(report, atMs, flights.size - (isOnAnswer ? 1 : 0));
+			if (!isOnAnswer) {
+				meanUse.record(report.inUse + report.queued, report.slots);
+			}
+
 			limit.setSlots(endpoint.slots === 0 ? report.slots : Math.min(endpoint.slots, report.slots > 0 ? report.slots : endpoint.slots));
 			if (report.state === 'leaving') {
 				leaving.add('report');
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -8,12 +8,14 @@
 import {createAttemptBudget, hedgeShare, retryShare} from './attemptBudget.js';
 import {type Waiter, createClassQueue} from './classQueue.js';
 import {type RouteDuration, createServiceDurations} from './durationEstimate.js';
-import type {Need} from './endpointChoice.js';
+import {type Need, isLeaving} from './endpointChoice.js';
 import {type PoolLayout, type PoolOptions, createEndpointPool} from './endpointPool.js';
 import type {EndpointTracker} from './endpointTracker.js';
 import {type Tier, localityOrder} from './localityOrder.js';
 import {type Refusal, runRequest} from './requestRun.js';
+import {type FetchReport, createRoomSearch} from './roomSearch.js';
 import type {RefusalReason, RoutedRequest, RouteOutcome} from './routedRequest.js';
+import {createTenantShares} from './tenantShares.js';
 import type {Lease} from './runningAttempt.js';
 import type {Schedule} from './scheduler.js';
 
@@ -35,11 +37,15 @@
 	readonly chooseZone: () => string | undefined;
 	readonly weightOf: (tenant: string) => number;
 	readonly onAttempt: (cause: AttemptCause) => void;
+	readonly fetchReport: FetchReport;
 };
 
 /** Room that other entries leave shows only in reports, so a waiting queue looks again. */
 const lookAgainMs = 10;
 
+const slotsLeftToOthers = 1;
+const useWithoutContention = 0.6;
+
 const refusal = (reason: RefusalReason, detail: string): Refusal => ({kind: 'refused', reason, detail});
 
 /**
@@ -49,12 +55,16 @@
  * @returns The router, which refuses all requests before `configure`.
  */
 export const createServiceRouter = (options: ServiceRouterOptions): ServiceRouter => {
-	const {clock, schedule, self, linkCaps, chooseZone, weightOf, onAttempt} = options;
+	const {clock, schedule, self, linkCaps, chooseZone, weightOf, onAttempt, fetchReport, random} = options;
 	const pool = createEndpointPool(options);
 	const durations = createServiceDurations();
 	const queue = createClassQueue(weightOf);
+	const shares = createTenantShares(clock, weightOf);
 	const retryBudget = createAttemptBudget(retryShare);
 	const hedgeBudget = createAttemptBudget(hedgeShare);
+	const roomSearch = createRoomSearch({
+		clock, random, fetchReport, meanUse: pool.meanUse, onReports: queue.startReady,
+	});
 	const tiersByZone = new Map<string, readonly Tier[]>();
 	let inFlight = 0;
 	let longInFlight = 0;
@@ -68,12 +78,13 @@
 		return tiers;
 	};
 
-	const lease = (tracker: EndpointTracker, duration: RouteDuration): Lease => {
+	const lease = (tracker: EndpointTracker, duration: RouteDuration, tenant: string): Lease => {
 		const isLong = duration.isLong();
 		const flight = {
 			startedAtMs: clock(), expectedMs: duration.firstByte(tracker.region).medianMs(), isLong, hasAnswer: false,
 		};
 		tracker.start(flight);
+		shares.start(tenant);
 		inFlight += 1;
 		longInFlight += isLong ? 1 : 0;
 		let isReleased = false;
@@ -84,7 +95,9 @@
 				if (!isReleased) {
 					isReleased = true;
 					tracker.end(flight);
+					shares.end(tenant);
 					inFlight -= 1;
+					pool.meanUse.recordHeld(clock() - flight.startedAtMs);
 					longInFlight -= isLong ? 1 : 0;
 					queue.startReady();
 				}
@@ -92,17 +105,32 @@
 		};
 	};
 
-	const tryLease = (need: Need, duration: RouteDuration): Lease | undefined => {
-		const tracker = pool.choose(need);
-		return tracker === undefined ? undefined : lease(tracker, duration);
+	/** Whether a tenant that uses more than its share must leave the last slot to others. */
+	const mustLeaveLast = (tenant: string): boolean => {
+		const slots = pool.ownedSlots();
+		return inFlight >= slots - slotsLeftToOthers && pool.meanUse.value() > useWithoutContention && shares.isOverShare(tenant, slots);
+	};
+
+	const tryLease = (need: Need, duration: RouteDuration, tenant: string): Lease | undefined => {
+		const tracker = mustLeaveLast(tenant) ? undefined : pool.choose(need);
+		return tracker === undefined ? undefined : lease(tracker, duration, tenant);
 	};
 
 	const lookAgain = () => {
 		isLookingAgain = false;
 		queue.startReady();
+		if (queue.size() > 0) {
+			searchRoom(undefined);
+		}
+
 		lookAgainLater();
 	};
 
+	const searchRoom = (zone: string | undefined) => {
+		const near = tiersFor(zone).flatMap(tier => tier.trackers);
+		roomSearch.search(near.filter(tracker => tracker.inFlight() < tracker.slots() && !isLeaving(tracker) && tracker.health.state() === 'healthy'));
+	};
+
 	const lookAgainLater = () => {
 		if (!isLookingAgain && queue.size() > 0) {
 			isLookingAgain = true;
@@ -125,7 +153,7 @@
 				requestClass: request.route.requestClass,
 				lane,
 				tryStart() {
-					const started = tryLease(need, duration);
+					const started = tryLease(need, duration, request.tenant);
 					if (started !== undefined) {
 						finish(started);
 					}
@@ -150,6 +178,7 @@
 				finish(refusal('queueFull', 'too many requests wait for this service'));
 			}
 
+			searchRoom(undefined);
 			lookAgainLater();
 		});
 	};
@@ -167,7 +196,7 @@
 			return refusal('noEndpoint', 'no endpoint of the service takes new work');
 		}
 
-		const leased = aheadMs === 0 ? tryLease(need, duration) : undefined;
+		const leased = aheadMs === 0 ? tryLease(need, duration, request.tenant) : undefined;
 		if (leased !== undefined) {
 			return leased;
 		}
@@ -199,6 +228,7 @@
 			const lane = `${tiers[0]?.trackers[0]?.region ?? ''}/${isLong ? 'long' : 'short'}`;
 			const needBase = {tiers, isLong, mayProbe: request.route.kind === 'idempotent'};
 			duration.recordArrival();
+			shares.recordArrival(request.tenant);
 			retryBudget.recordRequest();
 			hedgeBudget.recordRequest();
 			return runRequest({
@@ -215,7 +245,7 @@
 					? undefined
 					: tryLease({
 						...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
-					}, duration),
+					}, duration, request.tenant),
 				countBytes(tracker, sent, received) {
 					if (tracker.region !== self.region) {
 						linkCaps.count(tracker.region, sent, received);
