Steering: shadows of other regions' splits, steadier demand, refusal by class

Cause: a fresh deployment copied the first entry's split into every region; few requests looked like a demand and moved traffic; refusals ignored the class. Conclusion: drain time and 5 s bookings remain to be looked at.

--- a/packages/entry/src/__tests__/testEntry.ts
+++ b/packages/entry/src/__tests__/testEntry.ts
@@ -173,7 +173,7 @@
 		log: silentLogger,
 		metrics,
 		self: {id: 'e1', region: 'north', availabilityZone: 'n1'},
-		chooseZone: () => undefined,
+		chooseZone: () => ({kind: 'anywhere'}),
 	});
 	router.configure(configuration);
 	let isServing = true;
--- a/packages/entry/src/entryRuntime.ts
+++ b/packages/entry/src/entryRuntime.ts
@@ -111,7 +111,7 @@
 		log: createLogger('routing'),
 		metrics,
 		self: {id, region, availabilityZone},
-		chooseZone: service => steering.chooseZone(service, 'interactive'),
+		chooseZone: (service, requestClass) => steering.chooseZone(service, requestClass),
 	});
 
 	const readiness = (): Readiness => {
--- a/packages/entry/src/outcomeAnswer.ts
+++ b/packages/entry/src/outcomeAnswer.ts
@@ -14,6 +14,7 @@
 	displaced: 503,
 	waitedTooLong: 503,
 	noEndpoint: 503,
+	noCapacity: 503,
 	refusedByUpstream: 503,
 	unreachable: 503,
 };
--- a/packages/entry/src/startingSplits.ts
+++ b/packages/entry/src/startingSplits.ts
@@ -5,8 +5,9 @@
  * replacement during a shift would move its traffic at once, past the cap.
  */
 import type {Membership} from '@filbertwell/membership/membership';
+import type {Member} from '@filbertwell/types/member';
 import type {PeerChannel} from '@filbertwell/peer-protocol/peerChannel';
-import type {Split} from '@filbertwell/types/split';
+import type {RegionalSplit} from '@filbertwell/types/split';
 import type {Clock} from '@filbertwell/utils/clock';
 import {waitUnlessAborted} from '@filbertwell/utils/periodic';
 
@@ -23,17 +24,18 @@
 const checkIntervalMs = 100;
 const peersAsked = 3;
 
-const servingPeers = (membership: Membership) => {
+/** Peers of the same region first: theirs is the split in use, the others' only a shadow of it. */
+const servingPeers = (membership: Membership): readonly Member[] => {
 	const self = membership.self();
-	const peers = membership.members().filter(member => member.id !== self.id && member.role === 'entry' && member.health === 'alive' && member.state !== 'starting');
-	const inRegion = peers.filter(member => member.region === self.region);
-	return inRegion.length > 0 ? inRegion : peers;
+	const isElsewhere = (member: Member) => Number(member.region !== self.region);
+	return membership.members()
+		.filter(member => member.id !== self.id && member.role === 'entry' && member.health === 'alive' && member.state !== 'starting')
+		.toSorted((a, b) => isElsewhere(a) - isElsewhere(b));
 };
 
-const askPeers = async ({membership, channel}: StartingSplitsOptions): Promise<readonly Split[]> => {
+const askPeers = async ({membership, channel}: StartingSplitsOptions): Promise<readonly RegionalSplit[]> => {
 	const answers = await Promise.all(servingPeers(membership).slice(0, peersAsked).map(async peer => channel.call(peer.peerAddress, 'steering.splits', {})));
-	const answered = answers.flatMap(answer => answer.isOk() && answer.value.splits.length > 0 ? [answer.value] : []);
-	return answered.toSorted((a, b) => b.configurationVersion - a.configurationVersion)[0]?.splits ?? [];
+	return answers.flatMap(answer => answer.isOk() && answer.value.splits.length > 0 ? [answer.value.splits] : [])[0] ?? [];
 };
 
 /**
@@ -42,7 +44,7 @@
  * @param options - Members and the way to them.
  * @returns The splits of one peer; empty where no peer serves.
  */
-export const fetchStartingSplits = async (options: StartingSplitsOptions): Promise<readonly Split[]> => {
+export const fetchStartingSplits = async (options: StartingSplitsOptions): Promise<readonly RegionalSplit[]> => {
 	const {clock, signal} = options;
 	const giveUpAt = clock() + discoveryMs;
 	let splits = await askPeers(options);
--- a/packages/measure/src/experiments/fairness.ts
+++ b/packages/measure/src/experiments/fairness.ts
@@ -48,12 +48,12 @@
 		const baseline = await measure('leastInFlight', true, seed);
 		const even = await measure('borrowed', false, seed);
 		const value = await measure('borrowed', true, seed);
-		const ratio = rounded(value['othersP99Ms']! / even['othersP99Ms']!);
+		const ratio = rounded(value.othersP99Ms! / even.othersP99Ms!);
 		return {
 			experiment: 'fairness',
 			seed,
 			baseline,
-			value: {...value, othersP99EvenMs: even['othersP99Ms']!},
+			value: {...value, othersP99EvenMs: even.othersP99Ms!},
 			ratio,
 			bound: `others' p99 with over without the excess <= ${largestRatio}`,
 			ok: ratio <= largestRatio,
--- a/packages/measure/src/experiments/laggingReport.ts
+++ b/packages/measure/src/experiments/laggingReport.ts
@@ -61,7 +61,7 @@
 	async run({seed}) {
 		const baseline = await measure('shared', seed);
 		const value = await measure('borrowed', seed);
-		const ratio = value['busiestOverMean']!;
+		const ratio = value.busiestOverMean!;
 		return {
 			experiment: 'lagging-report',
 			seed,
@@ -69,7 +69,7 @@
 			value,
 			ratio,
 			bound: `busiest endpoint over the mean <= ${largestRatio}; spread between endpoints in the last third <= ${largestGrowth} of that in the first`,
-			ok: ratio <= largestRatio && value['spreadLastThird']! <= largestGrowth * value['spreadFirstThird']!,
+			ok: ratio <= largestRatio && value.spreadLastThird! <= largestGrowth * value.spreadFirstThird!,
 		};
 	},
 };
--- a/packages/measure/src/experiments/misleadingReport.ts
+++ b/packages/measure/src/experiments/misleadingReport.ts
@@ -36,12 +36,12 @@
 		const baseline = await measure('shared', true, seed);
 		const honest = await measure('borrowed', false, seed);
 		const value = await measure('borrowed', true, seed);
-		const ratio = rounded(value['p99Ms']! / honest['p99Ms']!);
+		const ratio = rounded(value.p99Ms! / honest.p99Ms!);
 		return {
 			experiment: 'misleading-report',
 			seed,
 			baseline,
-			value: {...value, p99HonestMs: honest['p99Ms']!},
+			value: {...value, p99HonestMs: honest.p99Ms!},
 			ratio,
 			bound: `p99 with over p99 without <= ${largestRatio}`,
 			ok: ratio <= largestRatio,
--- a/packages/measure/src/experiments/overload.ts
+++ b/packages/measure/src/experiments/overload.ts
@@ -61,9 +61,9 @@
 const withFactor = (figures: Figures, factor: number): Figures =>
 	Object.fromEntries(Object.entries(figures).map(([name, figure]) => [`${name}At${String(factor).replace('.', '_')}x`, figure]));
 
-const holds = (figures: Figures): boolean => figures['goodput']! >= leastGoodput
-	&& figures['refusalP50Ms']! < largestRefusalShare * deadlineMs
-	&& figures['worstOverSlotsShare']! <= largestOverSlotsShare;
+const holds = (figures: Figures): boolean => figures.goodput! >= leastGoodput
+	&& figures.refusalP50Ms! < largestRefusalShare * deadlineMs
+	&& figures.worstOverSlotsShare! <= largestOverSlotsShare;
 
 /** Goodput and refusals under overload. */
 export const experiment: Experiment = {
--- a/packages/measure/src/experiments/retryStorm.ts
+++ b/packages/measure/src/experiments/retryStorm.ts
@@ -32,7 +32,7 @@
 	async run({seed}) {
 		const baseline = await measure('leastInFlight', seed);
 		const value = await measure('borrowed', seed);
-		const ratio = value['attemptsPerRequest']!;
+		const ratio = value.attemptsPerRequest!;
 		return {
 			experiment: 'retry-storm', seed, baseline, value, ratio, bound: `attempts for each request <= ${mostAttempts}`, ok: ratio <= mostAttempts,
 		};
--- a/packages/measure/src/experiments/shortBehindLong.ts
+++ b/packages/measure/src/experiments/shortBehindLong.ts
@@ -18,7 +18,9 @@
 const deadlineMs = 20_000;
 
 const routes = [
-	readRoute({name: 'report', pathPrefix: '/report', hedge: false, deadlineMs}),
+	readRoute({
+		name: 'report', pathPrefix: '/report', hedge: false, deadlineMs,
+	}),
 	readRoute({name: 'read'}),
 ];
 const shortLoad = readLoad({weight: 1 - longShare});
@@ -55,12 +57,12 @@
 		const baseline = await measure('leastInFlight', true, seed);
 		const alone = await measure('borrowed', false, seed);
 		const value = await measure('borrowed', true, seed);
-		const ratio = rounded(value['shortP99Ms']! / alone['shortP99Ms']!);
+		const ratio = rounded(value.shortP99Ms! / alone.shortP99Ms!);
 		return {
 			experiment: 'short-behind-long',
 			seed,
 			baseline,
-			value: {...value, shortAloneP99Ms: alone['shortP99Ms']!},
+			value: {...value, shortAloneP99Ms: alone.shortP99Ms!},
 			ratio,
 			bound: `p99 of the short over their p99 alone <= ${largestRatio}`,
 			ok: ratio <= largestRatio,
--- a/packages/measure/src/experiments/stragglers.ts
+++ b/packages/measure/src/experiments/stragglers.ts
@@ -41,15 +41,15 @@
 		const baseline = await measure('leastInFlight', true, seed);
 		const without = await measure('borrowed', false, seed);
 		const value = await measure('borrowed', true, seed);
-		const ratio = rounded(value['p99Ms']! / without['p99Ms']!);
+		const ratio = rounded(value.p99Ms! / without.p99Ms!);
 		return {
 			experiment: 'stragglers',
 			seed,
 			baseline,
-			value: {...value, p99WithoutStragglersMs: without['p99Ms']!},
+			value: {...value, p99WithoutStragglersMs: without.p99Ms!},
 			ratio,
 			bound: `p99 with over p99 without <= ${largestRatio}; extra attempts <= ${mostExtraAttempts}`,
-			ok: ratio <= largestRatio && value['extraAttempts']! <= mostExtraAttempts,
+			ok: ratio <= largestRatio && value.extraAttempts! <= mostExtraAttempts,
 		};
 	},
 };
--- a/packages/measure/src/requestPath/bench.ts
+++ b/packages/measure/src/requestPath/bench.ts
@@ -116,7 +116,7 @@
 		log: silentLogger,
 		metrics: {increment: () => undefined},
 		self: selfOf(index),
-		chooseZone: () => undefined,
+		chooseZone: () => ({kind: 'anywhere'}),
 		fetchReport: upstreams.fetchReport,
 		slotDivision: policy,
 	});
--- a/packages/peer-protocol/src/methods.ts
+++ b/packages/peer-protocol/src/methods.ts
@@ -28,6 +28,7 @@
 		result: z.object({
 			configurationVersion: z.number().int().nonnegative(),
 			splits: z.array(z.object({
+				region: z.string(),
 				service: z.string(),
 				shares: z.array(z.object({availabilityZone: z.string(), share}).readonly()).readonly(),
 			}).readonly()).readonly(),
--- a/packages/routing/src/createRouter.ts
+++ b/packages/routing/src/createRouter.ts
@@ -8,6 +8,7 @@
 import type {Configuration} from '@filbertwell/types/configuration';
 import {type RequestClass, requestClasses} from '@filbertwell/types/intent';
 import type {LoadReport} from '@filbertwell/types/loadReport';
+import type {ZoneChoice} from '@filbertwell/types/zoneChoice';
 import type {Clock} from '@filbertwell/utils/clock';
 import type {Random} from '@filbertwell/utils/random';
 import type {Send} from './attempt.js';
@@ -32,8 +33,8 @@
 	readonly metrics: Pick<Metrics, 'increment'>;
 	/** This entry. */
 	readonly self: Self;
-	/** Zone of the next request by steering; `undefined` leaves the choice to locality. */
-	readonly chooseZone: (service: string) => string | undefined;
+	/** Where steering sends the next request of a class. */
+	readonly chooseZone: (service: string, requestClass: RequestClass) => ZoneChoice;
 	/** Asks an endpoint for its load; without it only reports on answers and by `observeReport` are known. */
 	readonly fetchReport?: FetchReport;
 	/** Timers; those of the process by default. */
@@ -88,7 +89,7 @@
 		linkCaps,
 		division: slotDivision,
 		fetchReport,
-		chooseZone: () => chooseZone(service),
+		chooseZone: requestClass => chooseZone(service, requestClass),
 		weightOf: tenant => weights.get(tenant) ?? defaultWeight,
 		onAttempt(cause) {
 			metrics.increment('attempts_total', {service, cause});
--- a/packages/routing/src/routedRequest.ts
+++ b/packages/routing/src/routedRequest.ts
@@ -24,6 +24,7 @@
 	| 'displaced'
 	| 'waitedTooLong'
 	| 'noEndpoint'
+	| 'noCapacity'
 	| 'refusedByUpstream'
 	| 'unreachable';
 
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -3,6 +3,7 @@
  */
 import type {Clock} from '@filbertwell/utils/clock';
 import type {RequestClass} from '@filbertwell/types/intent';
+import type {ZoneChoice} from '@filbertwell/types/zoneChoice';
 import {canMeetDeadline} from './admission.js';
 import type {AttemptCause, Send} from './attempt.js';
 import {createAttemptBudget, hedgeShare, retryShare} from './attemptBudget.js';
@@ -34,7 +35,7 @@
 /** Parameters of a service's router. */
 export type ServiceRouterOptions = PoolOptions & {
 	readonly schedule: Schedule;
-	readonly chooseZone: () => string | undefined;
+	readonly chooseZone: (requestClass: RequestClass) => ZoneChoice;
 	readonly weightOf: (tenant: string) => number;
 	readonly onAttempt: (cause: AttemptCause) => void;
 	readonly fetchReport: FetchReport;
@@ -222,8 +223,14 @@
 		},
 		async route(request, send) {
 			const duration = durations.ofRoute(request.route.name);
-			const zone = chooseZone();
-			const tiers = tiersFor(zone);
+			const choice = chooseZone(request.route.requestClass);
+			if (choice.kind === 'refused') {
+				return {
+					kind: 'not-run', reason: 'noCapacity', detail: 'no availability zone may take more of the service under the shift caps', attempts: 0,
+				};
+			}
+
+			const tiers = tiersFor(choice.kind === 'zone' ? choice.availabilityZone : undefined);
 			const isLong = duration.isLong();
 			const lane = `${tiers[0]?.trackers[0]?.region ?? ''}/${isLong ? 'long' : 'short'}`;
 			const needBase = {tiers, isLong, mayProbe: request.route.kind === 'idempotent'};
--- a/packages/steering/src/regionDemand.ts
+++ b/packages/steering/src/regionDemand.ts
@@ -10,10 +10,12 @@
 export type RegionDemandEstimate = {
 	/** Takes in the members' latest loads. */
 	readonly observe: (members: readonly Member[]) => void;
-	/** Demands that add up to 1; by the number of entries where no traffic is known. */
+	/** Demands that add up to 1; near the proportion of entries where little traffic is known. */
 	readonly demands: (regions: readonly RegionName[], members: readonly Member[]) => readonly RegionDemand[];
 };
 
+/** Requests a second that are assumed at each entry beside the known ones, so that a few requests do not look like a demand. */
+const priorPerEntry = 5;
 /** Time in which a lasting change of demand is taken in to about two thirds. */
 const smoothingMs = 30_000;
 
@@ -47,13 +49,9 @@
 			}
 		},
 		demands(regions, members) {
-			const total = regions.reduce((sum, region) => sum + (rates.get(region) ?? 0), 0);
-			if (total > 0) {
-				return regions.map(region => ({region, demand: (rates.get(region) ?? 0) / total}));
-			}
-
-			const entries = regions.reduce((sum, region) => sum + countOf(members, region), 0);
-			return regions.map(region => ({region, demand: entries > 0 ? countOf(members, region) / entries : 1 / regions.length}));
+			const expectations = regions.map(region => ({region, rate: (rates.get(region) ?? 0) + (priorPerEntry * countOf(members, region))}));
+			const total = expectations.reduce((sum, {rate}) => sum + rate, 0);
+			return expectations.map(({region, rate}) => ({region, demand: total > 0 ? rate / total : 1 / regions.length}));
 		},
 	};
 };
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -3,7 +3,8 @@
  */
 import type {RequestClass} from '@filbertwell/types/intent';
 import type {AvailabilityZoneName} from '@filbertwell/types/place';
-import type {ShiftProgress, Split} from '@filbertwell/types/split';
+import type {RegionalSplit, ShiftProgress} from '@filbertwell/types/split';
+import type {ZoneChoice} from '@filbertwell/types/zoneChoice';
 
 /** What the request path tells steering about one zone of one service. */
 export type ZoneCondition = {
@@ -19,13 +20,10 @@
 
 /** The split of this entry's traffic. */
 export type Steering = {
-	/**
-	 * Chooses a zone for the next request, spreading requests evenly by the current split.
-	 * `undefined`: no zone may take it and it is to be refused as not run.
-	 */
-	readonly chooseZone: (service: string, requestClass: RequestClass) => AvailabilityZoneName | undefined;
-	readonly split: (service: string) => Split | undefined;
-	readonly splits: () => readonly Split[];
+	/** Chooses a zone for the next request, spreading requests evenly by the current split. */
+	readonly chooseZone: (service: string, requestClass: RequestClass) => ZoneChoice;
+	/** Current splits of all services and regions, for starting peers. */
+	readonly splits: () => readonly RegionalSplit[];
 	readonly progress: () => readonly ShiftProgress[];
 	/** Latest conditions, given about once a second. */
 	readonly observe: (conditions: readonly ZoneCondition[]) => void;
--- a/packages/types/src/split.ts
+++ b/packages/types/src/split.ts
@@ -1,7 +1,7 @@
 /**
  * Division of a service's traffic between availability zones.
  */
-import type {AvailabilityZoneName} from './place.js';
+import type {AvailabilityZoneName, RegionName} from './place.js';
 
 /** Share of one availability zone, from 0 to 1. */
 export type ZoneShare = {
@@ -15,6 +15,11 @@
 	readonly shares: readonly ZoneShare[];
 };
 
+/** Division of one service's traffic at the entries of a region. */
+export type RegionalSplit = Split & {
+	readonly region: RegionName;
+};
+
 /** What keeps a shift from moving on. */
 export type ShiftHold = 'none' | 'cap' | 'headroom' | 'latency' | 'notSettled';
 
