--- a/packages/routing/src/createRouter.ts
+++ b/packages/routing/src/createRouter.ts
@@ -12,7 +12,7 @@
 import type {Clock} from '@filbertwell/utils/clock';
 import type {Random} from '@filbertwell/utils/random';
 import type {Send} from './attempt.js';
-import {drainedEndpoints} from './drainedEndpoints.js';
+import {drainedEndpoints, drainingZones} from './drainedEndpoints.js';
 import type {SlotDivision} from './endpointChoice.js';
 import type {EndpointTracker} from './endpointTracker.js';
 import {createLinkCaps} from './linkCap.js';
@@ -103,13 +103,14 @@
 	const configureServices = ({intent}: Configuration) => {
 		const regions = new Map(intent.regions.flatMap(({name, availabilityZones}) => availabilityZones.map(zone => [zone, name] as const)));
 		const drained = drainedEndpoints(intent);
+		const draining = drainingZones(intent);
 		weights = new Map(intent.tenants.map(({name, weight}) => [name, weight]));
 		linkCaps.configure(intent.linkCaps, region => entries.filter(entry => entry.region === region).length);
 		for (const service of intent.services) {
 			const router = services.get(service.name) ?? createService(service.name);
 			services.set(service.name, router);
 			router.configure({
-				service, entries, drained, regionOf: zone => regions.get(zone),
+				service, entries, drained, draining, regionOf: zone => regions.get(zone),
 			});
 			router.setListedLeaving(isListedLeaving);
 		}
--- a/packages/routing/src/drainedEndpoints.ts
+++ b/packages/routing/src/drainedEndpoints.ts
@@ -4,6 +4,20 @@
  */
 import type {Drain, Endpoint, Intent} from '@filbertwell/types/intent';
 
+/**
+ * Finds the availability zones that are being drained, at whatever pace.
+ *
+ * @param intent - The intent in force.
+ * @returns Names of zones.
+ */
+export const drainingZones = ({drains, regions}: Intent): ReadonlySet<string> => new Set(drains.flatMap(({target, name}) => {
+	if (target === 'availabilityZone') {
+		return [name];
+	}
+
+	return target === 'region' ? regions.find(region => region.name === name)?.availabilityZones ?? [] : [];
+}));
+
 /**
  * Finds drained endpoints.
  *
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -20,6 +20,8 @@
 	readonly regionOf: (zone: string) => string | undefined;
 	/** Endpoints that the operators are draining. */
 	readonly drained: ReadonlySet<string>;
+	/** Availability zones that are being drained, at once or step by step. */
+	readonly draining: ReadonlySet<string>;
 };
 
 /** Endpoints of one service. */
--- a/packages/routing/src/localityOrder.ts
+++ b/packages/routing/src/localityOrder.ts
@@ -3,6 +3,7 @@
  * our own), then the rest of that zone's region, then other regions. Between regions it is
  * steering that moves traffic, under the operators' caps; so a request for which steering chose
  * a zone stays in that zone's region. Only without a choice may it go further, under link caps.
+ * A zone that is being drained takes what steering still sends it and nothing from its neighbours.
  */
 import type {EndpointTracker} from './endpointTracker.js';
 
@@ -20,21 +21,32 @@
 	readonly availabilityZone: string;
 };
 
+/** What the order depends on. */
+export type LocalityInput = {
+	/** Endpoints of the service. */
+	readonly trackers: readonly EndpointTracker[];
+	/** This entry. */
+	readonly self: Self;
+	/** Zone by steering; `undefined` without a choice. */
+	readonly chosenZone: string | undefined;
+	/** Zones that are being drained. */
+	readonly draining: ReadonlySet<string>;
+};
+
 /**
  * Orders endpoints for a request.
  *
- * @param trackers - Endpoints of the service.
- * @param self - This entry.
- * @param chosenZone - Zone by steering; `undefined` without a choice.
+ * @param input - Endpoints, this entry and the zone chosen for the request.
  * @returns Tiers, nearest first, without empty ones.
  */
-export const localityOrder = (trackers: readonly EndpointTracker[], self: Self, chosenZone: string | undefined): readonly Tier[] => {
+export const localityOrder = ({trackers, self, chosenZone, draining}: LocalityInput): readonly Tier[] => {
 	const chosenRegion = trackers.find(({endpoint}) => endpoint.availabilityZone === chosenZone)?.region;
 	const zone = chosenRegion === undefined ? self.availabilityZone : chosenZone;
 	const region = chosenRegion ?? self.region;
 	const inZone = trackers.filter(({endpoint}) => endpoint.availabilityZone === zone);
-	const inRegion = trackers.filter(tracker => tracker.region === region && tracker.endpoint.availabilityZone !== zone);
-	const elsewhere = chosenRegion === undefined ? trackers.filter(tracker => tracker.region !== region) : [];
+	const neighbours = trackers.filter(({endpoint}) => endpoint.availabilityZone !== zone && !draining.has(endpoint.availabilityZone));
+	const inRegion = neighbours.filter(tracker => tracker.region === region);
+	const elsewhere = chosenRegion === undefined ? neighbours.filter(tracker => tracker.region !== region) : [];
 	return [
 		{trackers: inZone, isRemote: region !== self.region},
 		{trackers: inRegion, isRemote: region !== self.region},
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -70,11 +70,14 @@
 	let inFlight = 0;
 	let longInFlight = 0;
 	let isLookingAgain = false;
+	let draining: ReadonlySet<string> = new Set();
 
 	const tiersFor = (zone: string | undefined): readonly Tier[] => {
 		const key = zone ?? '';
 		const known = tiersByZone.get(key);
-		const tiers = known ?? localityOrder(pool.trackers(), self, zone);
+		const tiers = known ?? localityOrder({
+			trackers: pool.trackers(), self, chosenZone: zone, draining,
+		});
 		tiersByZone.set(key, tiers);
 		return tiers;
 	};
@@ -218,6 +221,7 @@
 	return {
 		configure(layout) {
 			pool.configure(layout);
+			draining = layout.draining;
 			tiersByZone.clear();
 			queue.startReady();
 		},
