Stop a superseded process; count peers' bytes in the metrics; look-up process leaves the list

A process whose id a later one has taken over stops, without taking its successor off the platform's list (Registration.abandon). Sampled beats go into probes alone and a join into four messages: after 64 members had started at once, datagrams had 884 bytes on average, as records were still going round.

--- a/packages/entry/src/controlPlane.ts
+++ b/packages/entry/src/controlPlane.ts
@@ -66,6 +66,8 @@
 		},
 	});
 	const channel = await createPeerChannel({address: settings.peers, log: createLogger('peers')});
+	metrics.observeGauge('peer_datagram_bytes', 'Bytes of heartbeats in both directions since the start, with headers', () => channel.traffic().datagramBytesIn + channel.traffic().datagramBytesOut);
+	metrics.observeGauge('peer_rpc_bytes', 'Bytes of calls between peers in both directions since the start', () => channel.traffic().rpcBytesIn + channel.traffic().rpcBytesOut);
 	const membership = createMembership({
 		self: {
 			id, role, region, availabilityZone, site, callerAddress,
@@ -100,6 +102,8 @@
 	serveConfigurationToPeers(channel, follower);
 
 	const lookup = createLookup({members: () => membership.members(), clock});
+	metrics.observeGauge('lookup_table_bytes', 'Memory of the table of client blocks', () => lookup.size().tableBytes);
+	metrics.observeGauge('lookup_blocks', 'Client blocks in the table', () => lookup.size().blocks);
 	const subscription = follower.inForce.subscribe(configuration => {
 		membership.announceConfiguration(configuration.version);
 		void lookup.update(configuration);
--- a/packages/entry/src/entryRuntime.ts
+++ b/packages/entry/src/entryRuntime.ts
@@ -79,6 +79,7 @@
 	const rate = createRequestRate();
 	let isServing = false;
 	let isLeaving = false;
+	let isSuperseded = false;
 
 	const control = await startControlPlane({
 		settings, role: 'entry', callerAddress: settings.callers, clock, random, metrics,
@@ -235,26 +236,41 @@
 		}
 	};
 
-	return {
-		async stop() {
-			if (isLeaving) {
-				return;
-			}
+	const leaveList = async () => {
+		if (isSuperseded) {
+			registration.abandon();
+		} else {
+			await registration.remove();
+		}
+	};
+
+	const stop = async (): Promise<void> => {
+		if (isLeaving) {
+			return;
+		}
 
-			isLeaving = true;
-			log(processEvents.stopping, {id});
-			membership.announceState('leaving');
+		isLeaving = true;
+		log(processEvents.stopping, {id});
+		membership.announceState('leaving');
+		if (!isSuperseded) {
 			registration.setState('leaving');
-			const lifetimeMs = (follower.current()?.intent.lookups.lifetimeSeconds ?? 0) * millisecondsPerSecond;
-			await waitUnlessAborted(lifetimeMs + settings.stop.drainMarginMs, signal);
-			await finishRequests();
-			stopping.abort();
-			await orders.stop();
-			await registration.remove();
-			await control.stop();
-			upstreams.close();
-			await admin.close();
-			log(processEvents.stopped, {id});
-		},
+		}
+
+		const lifetimeMs = (follower.current()?.intent.lookups.lifetimeSeconds ?? 0) * millisecondsPerSecond;
+		await waitUnlessAborted(lifetimeMs + settings.stop.drainMarginMs, signal);
+		await finishRequests();
+		stopping.abort();
+		await orders.stop();
+		await leaveList();
+		await control.stop();
+		upstreams.close();
+		await admin.close();
+		log(processEvents.stopped, {id});
 	};
+
+	membership.superseded.subscribe(() => {
+		isSuperseded = true;
+		void stop();
+	});
+	return {stop};
 };
--- a/packages/entry/src/instanceRegistration.ts
+++ b/packages/entry/src/instanceRegistration.ts
@@ -21,6 +21,8 @@
 	readonly setState: (state: InstanceState) => void;
 	/** Takes the process off the list, with one attempt. */
 	readonly remove: () => Promise<void>;
+	/** Leaves the list to a later process with the same id. */
+	readonly abandon: () => void;
 };
 
 const retryIntervalMs = 1000;
@@ -64,5 +66,8 @@
 			stopping.abort();
 			await instances.deregister(instance.id);
 		},
+		abandon() {
+			stopping.abort();
+		},
 	};
 };
--- a/packages/lookup/src/__tests__/lookupServer.test.ts
+++ b/packages/lookup/src/__tests__/lookupServer.test.ts
@@ -55,7 +55,7 @@
 	servers.push(server);
 	return async (path: string, method = 'GET') => {
 		const response = await fetch(`http://127.0.0.1:${server.address.port}${path}`, {method});
-		return {status: response.status, outcome: response.headers.get('x-filbertwell-outcome'), body: await response.json() as unknown};
+		return {status: response.status, outcome: response.headers.get('x-filbertwell-outcome'), body: await response.json()};
 	};
 };
 
--- a/packages/lookup/src/lookupRuntime.ts
+++ b/packages/lookup/src/lookupRuntime.ts
@@ -58,6 +58,7 @@
 	const {id, availabilityZone} = settings.process;
 	const stopping = new AbortController();
 	let isServing = false;
+	let isSuperseded = false;
 
 	const control = await startControlPlane({
 		settings, role: 'lookup', callerAddress: settings.callers, clock, random, metrics,
@@ -87,25 +88,38 @@
 	membership.announceState('serving');
 	log(processEvents.started, {id, callers: `${callers.address.host}:${callers.address.port}`, version: follower.current()?.version});
 
-	return {
-		callers: callers.address,
-		admin: admin.address,
-		async stop() {
-			if (stopping.signal.aborted) {
-				return;
-			}
+	const leaveList = async () => {
+		if (isSuperseded) {
+			registration.abandon();
+		} else {
+			await registration.remove();
+		}
+	};
 
-			stopping.abort();
-			isServing = false;
-			log(processEvents.stopping, {id});
-			membership.announceState('leaving');
+	const stop = async (): Promise<void> => {
+		if (stopping.signal.aborted) {
+			return;
+		}
+
+		stopping.abort();
+		isServing = false;
+		log(processEvents.stopping, {id});
+		membership.announceState('leaving');
+		if (!isSuperseded) {
 			registration.setState('leaving');
-			await waitUnlessAborted(settings.stop.drainMarginMs, new AbortController().signal);
-			await callers.close();
-			await registration.remove();
-			await control.stop();
-			await admin.close();
-			log(processEvents.stopped, {id});
-		},
+		}
+
+		await waitUnlessAborted(settings.stop.drainMarginMs, new AbortController().signal);
+		await callers.close();
+		await leaveList();
+		await control.stop();
+		await admin.close();
+		log(processEvents.stopped, {id});
 	};
+
+	membership.superseded.subscribe(() => {
+		isSuperseded = true;
+		void stop();
+	});
+	return {callers: callers.address, admin: admin.address, stop};
 };
--- a/packages/measure/src/experiments/controlCost.ts
+++ b/packages/measure/src/experiments/controlCost.ts
@@ -41,10 +41,12 @@
 };
 
 const sizes = [8, 16, 32, 64];
-const maximumProcesses = 16;
+const membersPerProcess = 4;
 const settleMs = 10_000;
-const restMs = 20_000;
-const changes = 8;
+/** After a start of all members at once, records travel for about so long for each. */
+const settlePerMemberMs = 1000;
+const restMs = 15_000;
+const changes = 6;
 const changeIntervalMs = 2000;
 const joinTimeoutMs = 60_000;
 const platformTimeoutMs = 5000;
@@ -103,7 +105,7 @@
 	}
 };
 
-const measureSize = async (members: number, seed: number): Promise<ControlCost> => {
+const measureSize = async (members: number, perProcess: number, seed: number): Promise<ControlCost> => {
 	const random = createRandom(seed);
 	const standin = await createPlatformStandin({host: '127.0.0.1', port: 0});
 	const platform = createHttpPlatform({
@@ -111,11 +113,10 @@
 	});
 	const {intent} = createTargetConfiguration(random, createBlocks(blocks, random));
 	await accept(platform, intent, 1);
-	const membersPerProcess = Math.ceil(members / maximumProcesses);
-	const group = await startControlGroup({members, membersPerProcess, platform: standin.address});
+	const group = await startControlGroup({members, membersPerProcess: perProcess, platform: standin.address});
 	try {
 		await waitForAll(group, ({knownMembers, version}) => knownMembers === members && version === 1);
-		await delay(settleMs);
+		await delay(settleMs + (members * settlePerMemberMs));
 		const start = await readTotals(group, standin);
 		await delay(restMs);
 		const rest = await readTotals(group, standin);
@@ -152,20 +153,24 @@
 
 const changesPerSecond = targetSizes.changesPerDay / secondsPerDay;
 
-const extrapolate = (costs: readonly ControlCost[], read: (cost: ControlCost) => number) => {
-	const line = fitLine(costs.map((cost): Point => ({x: cost.members, y: read(cost)})));
-	return {perMember: line.slope, atTarget: Math.max(line.at(targetSizes.nodes), 0)};
+/** The cost of a member alone in its process, at the target: a slope downwards is not believed. */
+const extrapolate = (shared: readonly ControlCost[], alone: ControlCost, read: (cost: ControlCost) => number) => {
+	const {slope} = fitLine(shared.map((cost): Point => ({x: cost.members, y: read(cost)})));
+	const largest = shared.at(-1)!;
+	const aloneExtra = Math.max(read(alone) - read(shared[0]!), 0);
+	return {slope, atTarget: read(largest) + aloneExtra + (Math.max(slope, 0) * (targetSizes.nodes - largest.members))};
 };
 
-const figuresBySize = (costs: readonly ControlCost[]): Figures => Object.fromEntries(costs.flatMap(cost => [
-	[`coreShareAtRest${cost.members}`, cost.restCoreShare],
-	[`cpuMsPerChange${cost.members}`, cost.cpuMsPerChange],
-	[`peerBytesPerSecond${cost.members}`, cost.peerBytesPerSecond],
-	[`platformBytesPerSecond${cost.members}`, cost.platformBytesPerSecond],
-	[`bytesPerChange${cost.members}`, cost.bytesPerChange],
-	[`heapMegabytes${cost.members}`, cost.heapMegabytes],
-	[`rssMegabytesPerProcess${cost.members}`, cost.rssMegabytesPerProcess],
-]));
+const figuresOf = (cost: ControlCost, name: string): Figures => Object.fromEntries([
+	[`coreShareAtRest${name}`, cost.restCoreShare],
+	[`cpuMsPerChange${name}`, cost.cpuMsPerChange],
+	[`peerBytesPerSecond${name}`, cost.peerBytesPerSecond],
+	[`platformBytesPerSecond${name}`, cost.platformBytesPerSecond],
+	[`bytesPerChange${name}`, cost.bytesPerChange],
+	[`bytesPerDatagram${name}`, cost.bytesPerDatagram],
+	[`heapMegabytes${name}`, cost.heapMegabytes],
+	[`rssMegabytesPerProcess${name}`, cost.rssMegabytesPerProcess],
+]);
 
 /** Measures the cost of control. */
 export const experiment: Experiment = {
@@ -174,12 +179,13 @@
 	async run({seed}) {
 		const costs: ControlCost[] = [];
 		for (const size of sizes) {
-			costs.push(await measureSize(size, seed)); // eslint-disable-line no-await-in-loop -- one size at a time
+			costs.push(await measureSize(size, membersPerProcess, seed)); // eslint-disable-line no-await-in-loop -- one size at a time
 		}
 
-		const core = extrapolate(costs, cost => cost.restCoreShare + (cost.cpuMsPerChange * changesPerSecond / millisecondsPerSecond));
-		const bytes = extrapolate(costs, cost => cost.peerBytesPerSecond + cost.platformBytesPerSecond + (cost.bytesPerChange * changesPerSecond));
-		const heap = extrapolate(costs, ({heapMegabytes}) => heapMegabytes);
+		const alone = await measureSize(sizes[0]!, 1, seed);
+		const core = extrapolate(costs, alone, cost => cost.restCoreShare + (cost.cpuMsPerChange * changesPerSecond / millisecondsPerSecond));
+		const bytes = extrapolate(costs, alone, cost => cost.peerBytesPerSecond + cost.platformBytesPerSecond + (cost.bytesPerChange * changesPerSecond));
+		const heap = extrapolate(costs, alone, ({heapMegabytes}) => heapMegabytes);
 		const spreadOptions = {members: targetSizes.nodes, loss, random: createRandom(seed)};
 		const state = repeatSpread({...spreadOptions, targets: stateTargets}, spreads);
 		const version = repeatSpread({...spreadOptions, targets: versionTargets}, spreads);
@@ -194,12 +200,13 @@
 				fullMeshBytesPerSecondAtTarget: 2 * (targetSizes.nodes - 1) * bytesPerDatagram,
 			},
 			value: {
-				...figuresBySize(costs),
-				coreShareSlope: core.perMember,
+				...figuresOf(alone, '8Alone'),
+				...Object.fromEntries(costs.flatMap(cost => Object.entries(figuresOf(cost, String(cost.members))))),
+				coreShareSlope: core.slope,
 				coreShareAtTarget: core.atTarget,
-				bytesPerSecondSlope: bytes.perMember,
+				bytesPerSecondSlope: bytes.slope,
 				bytesPerSecondAtTarget: bytes.atTarget,
-				heapMegabytesSlope: heap.perMember,
+				heapMegabytesSlope: heap.slope,
 				heapMegabytesAtTarget: heap.atTarget,
 				stateSpreadHops: state.hops,
 				stateSpreadRounds: state.rounds,
@@ -207,7 +214,8 @@
 				versionSpreadRounds: version.rounds,
 			},
 			ratio: bytes.atTarget / targetSizes.controlBytesPerSecond,
-			bound: `at ${targetSizes.nodes} members by the slope at most ${targetSizes.controlCoreShare * 100}% of a core, ${targetSizes.controlBytesPerSecond} bytes/s and ${targetSizes.controlMegabytes} MB; `
+			bound: `at ${targetSizes.nodes} members by the slope at most ${targetSizes.controlCoreShare * 100}% of a core, `
+				+ `${targetSizes.controlBytesPerSecond} bytes/s and ${targetSizes.controlMegabytes} MB; `
 				+ `a change of state known everywhere within ${targetSizes.inForceSeconds} s`,
 			ok: core.atTarget <= targetSizes.controlCoreShare
 				&& bytes.atTarget <= targetSizes.controlBytesPerSecond
--- a/packages/membership/src/dissemination.ts
+++ b/packages/membership/src/dissemination.ts
@@ -8,6 +8,12 @@
 /** Peers that a member tells at once of another's change. */
 export const relayTargets = 4;
 
+/**
+ * Further messages that carry a new member's record. Records are long; who misses one asks for it
+ * when it hears the member's id.
+ */
+export const messagesPerJoin = 4;
+
 const extraMessages = 2;
 
 /**
--- a/packages/membership/src/heartbeatExchange.ts
+++ b/packages/membership/src/heartbeatExchange.ts
@@ -11,7 +11,9 @@
 import type {Clock} from '@filbertwell/utils/clock';
 import type {Random} from '@filbertwell/utils/random';
 import {createTokenBucket} from '@filbertwell/utils/tokenBucket';
-import {messagesPerChange, ownNewsTargets, relayTargets} from './dissemination.js';
+import {
+	messagesPerChange, messagesPerJoin, ownNewsTargets, relayTargets,
+} from './dissemination.js';
 import {createDoubts} from './doubts.js';
 import type {Learned, MemberTable} from './memberTable.js';
 import {createNewsQueue} from './newsQueue.js';
@@ -124,7 +126,7 @@
 		const own = isIntroduced(to) ? [] : [self.record()];
 		const records = [...own, ...recordsOf(joins.take(recordsPerMessage - own.length))];
 		const changed = changes.take(beatsPerMessage - asked.length - (records.length * beatsPerRecord));
-		const beats = [...beatsOf([...asked, ...changed]), ...(kind === 'news' ? [] : sampleBeats(to))];
+		const beats = [...beatsOf([...asked, ...changed]), ...(kind === 'probe' ? sampleBeats(to) : [])];
 		const unheard = doubts.doubted().filter(id => id !== to).slice(0, unheardInMessage);
 		return fitHeartbeat({
 			kind,
@@ -153,11 +155,10 @@
 	};
 
 	const passOn = (id: string, learned: Learned) => {
-		const messages = messagesPerChange(table.known().size);
 		if (learned === 'joined') {
-			joins.add(id, messages);
+			joins.add(id, messagesPerJoin);
 		} else {
-			changes.add(id, messages);
+			changes.add(id, messagesPerChange(table.known().size));
 		}
 	};
 
