--- a/packages/membership/src/heartbeatExchange.ts
+++ b/packages/membership/src/heartbeatExchange.ts
@@ -2,8 +2,7 @@
  * Heartbeats to and from peers: one probe a round to the next peer of a random pass, changes to
  * several peers at once, and a sample of what is known in each message.
  */
-import {fitHeartbeat} from '@filbertwell/peer-protocol/datagram';
-import type {Heartbeat, HeartbeatKind} from '@filbertwell/peer-protocol/heartbeat';
+import type {Heartbeat} from '@filbertwell/peer-protocol/heartbeat';
 import type {MemberBeat, MemberRecord} from '@filbertwell/peer-protocol/memberRecord';
 import type {ReceivedHeartbeat} from '@filbertwell/peer-protocol/peerChannel';
 import type {Member} from '@filbertwell/types/member';
@@ -11,13 +10,10 @@
 import type {Clock} from '@filbertwell/utils/clock';
 import type {Random} from '@filbertwell/utils/random';
 import {createTokenBucket} from '@filbertwell/utils/tokenBucket';
-import {
-	messagesPerChange, messagesPerJoin, ownNewsTargets, relayTargets,
-} from './dissemination.js';
+import {ownNewsTargets, relayTargets} from './dissemination.js';
 import {createDoubts} from './doubts.js';
+import {createHeartbeatComposer, unheardInMessage} from './heartbeatComposer.js';
 import type {Learned, MemberTable} from './memberTable.js';
-import {createNewsQueue} from './newsQueue.js';
-import {toBeat, toRecord} from './records.js';
 import type {SelfAnnouncement} from './selfAnnouncement.js';
 import {createTargetRing} from './targetRing.js';
 
@@ -53,17 +49,11 @@
 	readonly onSuperseded: (by: MemberBeat) => void;
 };
 
-const sampledBeats = 1;
-/** With the sender's own beat, so many items fit into a datagram; a record takes the room of several beats. */
-const beatsPerMessage = 8;
-const recordsPerMessage = 2;
-const beatsPerRecord = 3;
 const reprobesPerRound = 3;
 /** While no peer at all is heard, silence says little of any one: suspicion takes so many times longer. */
 const unheardFactor = 3;
 const newsMessagesPerSecond = 8;
 const newsMessagesBurst = 64;
-const unheardInMessage = 3;
 const helperCandidates = 4;
 
 /** A version alone isn't passed on: each member tells its own, and all have a new one at about the same time. */
@@ -78,70 +68,18 @@
 export const createHeartbeatExchange = (options: HeartbeatExchangeOptions): HeartbeatExchange => {
 	const {self, table, send, clock, random, silentAfterProbes} = options;
 	const doubts = createDoubts();
-	const joins = createNewsQueue();
-	const changes = createNewsQueue();
+	const composer = createHeartbeatComposer({self, table, doubted: doubts.doubted});
 	const ring = createTargetRing(random);
 	const newsBudget = createTokenBucket(clock, {tokensPerSecond: newsMessagesPerSecond, burst: newsMessagesBurst});
-	const introduced = new Set<string>();
-	let introducedIncarnation = self.member().incarnation;
 	let roundsUnheard = 0;
-	let sampleAt = 0;
 	let helper: string | undefined;
 	let superseded = false;
 
-	const isIntroduced = (id: string | undefined): boolean => {
-		if (introducedIncarnation !== self.member().incarnation) {
-			introduced.clear();
-			introducedIncarnation = self.member().incarnation;
-		}
-
-		return id !== undefined && introduced.has(id);
-	};
-
-	const sampleBeats = (without: string | undefined): MemberBeat[] => {
-		const ids = [...table.known().keys()];
-		const beats: MemberBeat[] = [];
-		for (let step = 0; step < Math.min(sampledBeats, ids.length); step++) {
-			sampleAt = (sampleAt + 1) % ids.length;
-			const id = ids[sampleAt]!;
-			if (id !== without) {
-				beats.push(toBeat(table.get(id)!));
-			}
-		}
-
-		return beats;
-	};
-
-	const beatsOf = (ids: readonly string[]): MemberBeat[] => ids.flatMap(id => {
-		const known = table.get(id);
-		return known === undefined ? [] : [toBeat(known)];
-	});
-
-	const recordsOf = (ids: readonly string[]): MemberRecord[] => ids.flatMap(id => {
-		const known = table.get(id);
-		return known === undefined ? [] : [toRecord(known.member, known.sequence)];
-	});
-
-	const compose = (kind: HeartbeatKind, to: string | undefined, asked: readonly string[]): Heartbeat => {
-		const own = isIntroduced(to) ? [] : [self.record()];
-		const records = [...own, ...recordsOf(joins.take(recordsPerMessage - own.length))];
-		const changed = changes.take(beatsPerMessage - asked.length - (records.length * beatsPerRecord));
-		const beats = [...beatsOf([...asked, ...changed]), ...(kind === 'probe' ? sampleBeats(to) : [])];
-		const unheard = doubts.doubted().filter(id => id !== to).slice(0, unheardInMessage);
-		return fitHeartbeat({
-			kind,
-			sender: self.beat(),
-			...(records.length > 0 && {records}),
-			...(beats.length > 0 && {beats}),
-			...(unheard.length > 0 && {unheard}),
-		});
-	};
-
 	const probe = (id: string) => {
 		const known = table.get(id);
 		if (known !== undefined) {
 			doubts.probed(id);
-			send(known.member.peerAddress, compose('probe', id, []));
+			send(known.member.peerAddress, composer.compose('probe', id, []));
 		}
 	};
 
@@ -149,19 +87,11 @@
 		for (const id of ring.sample(table.known(), targets)) {
 			const known = table.get(id);
 			if (known !== undefined && newsBudget.tryTake(1)) {
-				send(known.member.peerAddress, compose('news', id, []));
+				send(known.member.peerAddress, composer.compose('news', id, []));
 			}
 		}
 	};
 
-	const passOn = (id: string, learned: Learned) => {
-		if (learned === 'joined') {
-			joins.add(id, messagesPerJoin);
-		} else {
-			changes.add(id, messagesPerChange(table.known().size));
-		}
-	};
-
 	const hearOfSelf = (beat: MemberBeat) => {
 		const reaction = self.hear(beat);
 		if (reaction === 'refute') {
@@ -202,7 +132,8 @@
 		const outcomes = statements.map(statement => ({id: statement.id, learned: learn(statement)}));
 		const newsworthy = outcomes.filter(({learned}) => isNews(learned));
 		for (const {id, learned} of newsworthy) {
-			passOn(id, learned);
+			const passOn = learned === 'joined' ? composer.passOnJoin : composer.passOnChange;
+			passOn(id);
 		}
 
 		const unknown = outcomes.filter(({learned}) => learned === 'unknown').map(({id}) => id);
@@ -220,7 +151,7 @@
 		const known = table.get(id);
 		const isOlderThanKnown = known !== undefined && known.member.incarnation > heartbeat.sender.incarnation;
 		const asked = (heartbeat.unheard ?? []).slice(0, unheardInMessage);
-		send(from, compose('reply', id, isOlderThanKnown ? [id, ...asked] : asked));
+		send(from, composer.compose('reply', id, isOlderThanKnown ? [id, ...asked] : asked));
 		for (const unheard of asked) {
 			if (table.get(unheard)?.member.health === 'alive' && doubts.raise(unheard)) {
 				probe(unheard);
@@ -254,7 +185,7 @@
 			const limit = roundsUnheard > silentAfterProbes ? silentAfterProbes * unheardFactor : silentAfterProbes;
 			for (const id of doubts.endRound(limit)) {
 				if (table.suspect(id)) {
-					passOn(id, 'changed');
+					composer.passOnChange(id);
 					options.onLearned(id, 'changed');
 					spread(relayTargets);
 				}
@@ -265,7 +196,7 @@
 			}
 
 			for (const address of contacts) {
-				send(address, compose('probe', undefined, []));
+				send(address, composer.compose('probe', undefined, []));
 			}
 		},
 		receive({from, heartbeat}) {
@@ -283,7 +214,7 @@
 			}
 
 			if (heartbeat.kind === 'reply') {
-				introduced.add(id);
+				composer.introduced(id);
 				options.onAnswer(from);
 			} else if (heartbeat.kind === 'probe') {
 				replyTo(heartbeat, from);
@@ -295,7 +226,7 @@
 		learn,
 		forget(id) {
 			doubts.forget(id);
-			introduced.delete(id);
+			composer.forget(id);
 		},
 		roundsUnheard: () => roundsUnheard,
 	};
