Compare members beyond the end of one's own list

A member with a higher id than all that a process knew was never found by comparing pages: the pass began again at its own last page. It now goes on as long as the peer has more.

--- a/packages/membership/src/memberFetch.ts
+++ b/packages/membership/src/memberFetch.ts
@@ -121,8 +121,11 @@
 		async comparePage(from) {
 			await alone(async () => {
 				const {page, complete} = pageAfter(records(), comparedTo, comparedPageSize);
-				await request(from, {after: comparedTo, limit: comparedPageSize, digest: digestOf(page)});
-				comparedTo = complete ? '' : page.at(-1)?.id ?? '';
+				const answer = await request(from, {after: comparedTo, limit: comparedPageSize, digest: digestOf(page)});
+				if (answer !== undefined) {
+					const isPassOver = complete && answer.complete;
+					comparedTo = isPassOver ? '' : answer.members.at(-1)?.id ?? page.at(-1)?.id ?? '';
+				}
 			});
 		},
 	};
