--- a/packages/measure/src/experiments/controlCost.ts
+++ b/packages/measure/src/experiments/controlCost.ts
@@ -15,6 +15,7 @@
 import {repeatSpread, stateTargets, versionTargets} from '../disseminationRounds.js';
 import type {Experiment, Figures} from '../experiment.js';
 import {fitLine, type Point} from '../fitLine.js';
+import {measureMember} from '../memberCost.js';
 import {createBlocks, createTargetConfiguration, targetSizes} from '../targetShape.js';
 
 /** Cost of control for one member. */
@@ -189,6 +190,8 @@
 		const spreadOptions = {members: targetSizes.nodes, loss, random: createRandom(seed)};
 		const state = repeatSpread({...spreadOptions, targets: stateTargets}, spreads);
 		const version = repeatSpread({...spreadOptions, targets: versionTargets}, spreads);
+		const smallest = measureMember(sizes[0]!, createRandom(seed));
+		const atTarget = measureMember(targetSizes.nodes, createRandom(seed));
 		const spreadSeconds = ((state.hops * hopMs) / millisecondsPerSecond) + state.rounds;
 		const {bytesPerDatagram} = (costs.at(-1)!);
 
@@ -208,6 +211,9 @@
 				bytesPerSecondAtTarget: bytes.atTarget,
 				heapMegabytesSlope: heap.slope,
 				heapMegabytesAtTarget: heap.atTarget,
+				heartbeatCpuMsPerSecond8: smallest.cpuMsPerSecond,
+				heartbeatCpuMsPerSecondAtTarget: atTarget.cpuMsPerSecond,
+				recordsMegabytesAtTarget: atTarget.heapBytes / bytesPerMegabyte,
 				stateSpreadHops: state.hops,
 				stateSpreadRounds: state.rounds,
 				versionSpreadHops: version.hops,
