--- a/packages/measure/src/experiments/lookupRate.ts
+++ b/packages/measure/src/experiments/lookupRate.ts
@@ -28,7 +28,7 @@
 	const byte = () => Math.floor(random() * 256);
 	return random() < 0.8
 		? `${1 + Math.floor(random() * 4)}.${byte()}.${byte()}.${byte()}`
-		: `2001:${Math.floor(random() * 65_536).toString(16)}:0::${byte().toString(16)}`;
+		: `2001:${(1 + Math.floor(random() * 65_535)).toString(16)}:1::${byte().toString(16)}`;
 };
 
 const ratePerSecond = (count: number, work: (index: number) => void): number => {
--- a/packages/measure/src/targetShape.ts
+++ b/packages/measure/src/targetShape.ts
@@ -2,7 +2,9 @@
  * A deployment of the size that the system is to reach.
  */
 import type {Configuration} from '@filbertwell/types/configuration';
-import type {ClientBlock, Intent, SitePreference} from '@filbertwell/types/intent';
+import type {
+	ClientBlock, Intent, Service, SitePreference,
+} from '@filbertwell/types/intent';
 import type {Member} from '@filbertwell/types/member';
 import type {Random} from '@filbertwell/utils/random';
 
@@ -36,7 +38,7 @@
 const blockPrefix = (index: number, ipv4Count: number): string => {
 	if (index >= ipv4Count) {
 		const number = index - ipv4Count;
-		return `2001:${(number % 65_536).toString(16)}:${Math.floor(number / 65_536).toString(16)}::/48`;
+		return `2001:${(1 + (number % 65_535)).toString(16)}:${(1 + Math.floor(number / 65_535)).toString(16)}::/48`;
 	}
 
 	const network = `${1 + Math.floor(index / 65_536)}.${Math.floor(index / 256) % 256}.${index % 256}`;
@@ -63,6 +65,19 @@
 	sites: [...new Set(Array.from({length: sitesPerPreference}, () => siteName(Math.floor(random() * targetSizes.sites))))],
 }));
 
+const createService = (): Service => ({
+	name: 'catalogue',
+	pathPrefix: '/catalogue',
+	hosts: [],
+	endpoints: Array.from({length: targetSizes.availabilityZones}, (_, zone) => ({
+		id: `endpoint-${zone}`, host: '127.0.0.1', port: 9000 + zone, availabilityZone: zoneName(zone), slots: 4,
+	})),
+	routes: [{
+		name: 'all', methods: [], pathPrefix: '/', requestClass: 'interactive', kind: 'idempotent', deadlineMs: 1000, hedge: false, claimOutage: 'refuse',
+	}],
+	maximumBodyBytes: 1_048_576,
+});
+
 /**
  * Creates an accepted configuration of the target's size.
  *
@@ -79,9 +94,7 @@
 			name: regionName(region),
 			availabilityZones: zones.filter(zone => regionName(zone) === regionName(region)).map(zone => zoneName(zone)),
 		})),
-		services: [{
-			name: 'catalogue', pathPrefix: '/catalogue', hosts: [], endpoints: [], routes: [], maximumBodyBytes: 1_048_576,
-		}],
+		services: [createService()],
 		regionShares: [],
 		linkCaps: [],
 		shiftCaps: {plannedSharePerMinute: 0.1, failoverSharePerMinute: 1},
