--- a/packages/configuration/src/assembleConfiguration.ts
+++ b/packages/configuration/src/assembleConfiguration.ts
@@ -27,6 +27,8 @@
 	readonly contents: ReadonlyMap<string, string>;
 	/** Reference of the client blocks' root. */
 	readonly blocks: PartReference;
+	/** Chunks of client blocks in order. */
+	readonly blockLists: ReadonlyArray<readonly ClientBlock[]>;
 	/** Chunks of client blocks, by hash. */
 	readonly chunks: ReadonlyMap<string, readonly ClientBlock[]>;
 };
@@ -68,7 +70,18 @@
 	};
 };
 
-const concatenate = async (lists: ReadonlyArray<readonly ClientBlock[]>, pace: Pace): Promise<ClientBlock[]> => {
+type BlockLists = ReadonlyArray<readonly ClientBlock[]>;
+
+const countBlocks = (lists: BlockLists): number => {
+	let count = 0;
+	for (const list of lists) {
+		count += list.length;
+	}
+
+	return count;
+};
+
+const concatenate = async (lists: BlockLists, pace: Pace): Promise<ClientBlock[]> => {
 	const all: ClientBlock[] = [];
 	for (const list of lists) {
 		all.push(...list);
@@ -78,6 +91,32 @@
 	return all;
 };
 
+/** Makes the list of all blocks, if it can from an earlier one, of which it copies what stands before and after the change. */
+const listBlocks = async (lists: BlockLists, previous: AssembledConfiguration | undefined, pace: Pace): Promise<readonly ClientBlock[]> => {
+	if (previous === undefined) {
+		return concatenate(lists, pace);
+	}
+
+	const earlier = previous.blockLists;
+	const shorter = Math.min(lists.length, earlier.length);
+	let before = 0;
+	while (before < shorter && lists[before] === earlier[before]) {
+		before += 1;
+	}
+
+	let after = 0;
+	while (after < shorter - before && lists.at(-1 - after) === earlier.at(-1 - after)) {
+		after += 1;
+	}
+
+	const changed = await concatenate(lists.slice(before, lists.length - after), pace);
+	const all = previous.configuration.intent.clientBlocks;
+	const beforeCount = countBlocks(lists.slice(0, before));
+	const afterCount = countBlocks(lists.slice(lists.length - after));
+	// Copies memory; a spread goes through the elements one by one and holds the event loop.
+	return all.slice(0, beforeCount).concat(changed, all.slice(all.length - afterCount)); // eslint-disable-line unicorn/prefer-spread
+};
+
 /**
  * Assembles a configuration.
  *
@@ -169,12 +208,12 @@
 	const {version, changeId, author, acceptedAt} = head;
 	// The same list as before tells its readers that no block changed.
 	const sameBlocks = previous !== undefined && hashOfReference(previous.blocks) === hashOfReference(manifest.value.blocks);
-	const clientBlocks = sameBlocks ? previous.configuration.intent.clientBlocks : await concatenate(blocks.value, pace);
+	const clientBlocks = sameBlocks ? previous.configuration.intent.clientBlocks : await listBlocks(blocks.value, previous, pace);
 	const intent = {
 		...policy.value, ...sites.value, services: services.value, clientBlocks,
 	};
 	return ok({
-		head, contents, blocks: manifest.value.blocks, chunks, configuration: {
+		head, contents, blocks: manifest.value.blocks, blockLists: blocks.value, chunks, configuration: {
 			version, changeId, author, acceptedAt, intent,
 		},
 	});
--- a/packages/entry/src/adminServer.ts
+++ b/packages/entry/src/adminServer.ts
@@ -1,9 +1,11 @@
 /**
  * HTTP server for operators and the metrics system: health, readiness, state, metrics and explanations.
  */
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {maximumOfferCharacters, parseOffer, type Offer} from '@filbertwell/configuration/offer';
 import type {EntryState, Explanation} from '@filbertwell/types/entryState';
 import type {SocketAddress} from '@filbertwell/types/place';
 import type {Result} from 'neverthrow';
@@ -31,6 +33,8 @@
 	readonly exposition: () => Promise<string>;
 	/** Explains a request's way; an error is a sentence for the operator. */
 	readonly explain: (query: ExplanationQuery) => Result<Explanation, string>;
+	/** Takes an accepted change from an operator's desk; returns whether it is news here. */
+	readonly takeOffer: (offer: Offer) => boolean;
 };
 
 /** A running server. */
@@ -47,6 +51,24 @@
 	response.end(JSON.stringify(body));
 };
 
+/** An offer's parts with room for the escapes of JSON. */
+const maximumOfferBytes = 4 * maximumOfferCharacters;
+
+const readLimited = async (request: IncomingMessage, maximumBytes: number): Promise<string | undefined> => {
+	const chunks: Uint8Array[] = [];
+	let bytes = 0;
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		bytes += chunk.length;
+		if (bytes > maximumBytes) {
+			return undefined;
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+};
+
 const baseUrl = 'http://admin';
 
 /** A target that is no URL is answered as the path `/`. */
@@ -61,7 +83,7 @@
  * @returns The server, once it listens; rejects where the address can't be listened on.
  */
 export const createAdminServer = async (options: AdminServerOptions): Promise<AdminServer> => {
-	const {address, readiness, state, exposition, explain} = options;
+	const {address, readiness, state, exposition, explain, takeOffer} = options;
 
 	const sendExplanation = (query: URLSearchParams, response: ServerResponse): void => {
 		const service = query.get('service');
@@ -83,8 +105,31 @@
 		);
 	};
 
+	const answerOffer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		const body = await readLimited(request, maximumOfferBytes);
+		if (body === undefined) {
+			sendJson(response, 413, {problem: `the offer is over ${maximumOfferBytes} bytes; send the head alone, parts come from the platform`});
+			return;
+		}
+
+		parseOffer(body).match(
+			offer => {
+				sendJson(response, 202, {taken: takeOffer(offer)});
+			},
+			({detail}) => {
+				sendJson(response, 400, {problem: `the offer is malformed: ${detail}`});
+			},
+		);
+	};
+
 	const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		const {pathname, searchParams} = parseUrl(request);
+		if (request.method === 'POST' && pathname === '/configuration/offer') {
+			await answerOffer(request, response);
+			return;
+		}
+
+		request.resume();
 		if (request.method !== 'GET' && request.method !== 'HEAD') {
 			sendJson(response, 405, {problem: `method "${request.method}" is not answered here; use GET`});
 			return;
@@ -125,9 +170,17 @@
 		}
 	};
 
+	const respond = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		try {
+			await answer(request, response);
+		} catch {
+			// The client closed the connection while its offer was read.
+			response.destroy();
+		}
+	};
+
 	const server = createServer((request, response) => {
-		request.resume();
-		void answer(request, response);
+		void respond(request, response);
 	});
 	server.listen(address.port, address.host);
 	await once(server, 'listening');
--- a/packages/entry/src/entryRuntime.ts
+++ b/packages/entry/src/entryRuntime.ts
@@ -130,6 +130,7 @@
 		explain: query => explainRequest({
 			entry: id, configuration: () => follower.current(), lookup, steering, routerState: () => router.state(),
 		}, query),
+		takeOffer: ({head, parts}) => follower.offer(head, parts),
 	});
 
 	metrics.observeGauge('requests_in_flight', 'Requests at upstreams', () => router.load().inFlight);
