--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -213,6 +213,10 @@
 			: refusal('deadlineTooShort', 'the wait for an endpoint would pass the deadline');
 	};
 
+	/** Endpoints that have failed a request serve it again where there are no others. */
+	const unlessAll = (excluded: readonly EndpointTracker[], tiers: readonly Tier[]): readonly EndpointTracker[] =>
+		tiers.some(tier => tier.trackers.some(tracker => !excluded.includes(tracker) && !isLeaving(tracker))) ? excluded : [];
+
 	const otherZone = ({tracker}: Lease, tiers: readonly Tier[]): string | undefined => {
 		const zone = tracker.endpoint.availabilityZone;
 		return tiers.some(tier => tier.trackers.some(({endpoint}) => endpoint.availabilityZone !== zone)) ? zone : undefined;
@@ -251,12 +255,23 @@
 				retryBudget,
 				hedgeBudget,
 				onAttempt,
-				acquire: async excluded => acquire(request, {...needBase, excluded, otherThanZone: undefined}, duration, lane),
-				tryAcquireElsewhere: first => queue.size() > 0
-					? undefined
-					: tryLease({
-						...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
-					}, duration, request.tenant),
+				acquire: async excluded => acquire(request, {...needBase, excluded: unlessAll(excluded, tiers), otherThanZone: undefined}, duration, lane),
+				tryAcquireElsewhere(first) {
+					const leased = queue.size() > 0
+						? undefined
+						: tryLease({
+							...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
+						}, duration, request.tenant);
+					if (leased === undefined) {
+						searchRoom(zone);
+					}
+
+					return leased;
+				},
+				tryAcquireProbe() {
+					const tracker = pool.chooseProbe(tiers);
+					return tracker === undefined ? undefined : lease(tracker, duration, request.tenant);
+				},
 				countBytes(tracker, sent, received) {
 					if (tracker.region !== self.region) {
 						linkCaps.count(tracker.region, sent, received);
