--- a/packages/load/src/caller.ts
+++ b/packages/load/src/caller.ts
@@ -44,14 +44,25 @@
 /** A caller waits longer than its deadline, so that the entry's own refusal arrives. */
 const timeoutMarginMs = 1000;
 const resendPauseMs = 50;
-const questions = 8;
-const questionPauseMs = 250;
+const inDoubtPauseMs = 300;
+/** Resends of a request that stays in doubt, before the caller asks instead. */
+const inDoubtResends = 5;
+/** Questions while no entry can tell, and once one has told that the request is not settled. */
+const questionsUnanswered = 60;
+const questionsUnsettled = 4;
+const questionPauseMs = 500;
 const questionTimeoutMs = 2000;
 
-/** Outcomes after which another attempt may help. An at-most-once request is resent under its key. */
+/** Outcomes after which another attempt may help. An at-most-once request is resent under its key, also in doubt. */
 const resendOutcomes: ReadonlySet<AttemptOutcome> = new Set(['unreachable', 'not-run', 'lost', 'cut-off', 'timed-out', 'foreign']);
 
-const finalOutcome = (attempts: readonly AttemptRecord[]): RequestOutcome => {
+const mayHelp = (attempt: AttemptRecord, attempts: readonly AttemptRecord[], key: string | undefined): boolean => {
+	const inDoubt = attempts.filter(({outcome}) => outcome === 'in-doubt').length;
+	return resendOutcomes.has(attempt.outcome) || (key !== undefined && attempt.outcome === 'in-doubt' && inDoubt <= inDoubtResends);
+};
+
+/** Under a key, a refusal speaks for all attempts; without one, for its own alone. */
+const finalOutcome = (attempts: readonly AttemptRecord[], key: string | undefined): RequestOutcome => {
 	const last = attempts.at(-1)?.outcome;
 	if (last === 'answered' || last === 'replayed') {
 		return 'answered';
@@ -61,7 +72,8 @@
 		return last;
 	}
 
-	return attempts.every(({outcome}) => outcome === 'not-run' || outcome === 'unreachable') && last === 'not-run' ? 'not-run' : 'no-answer';
+	const isRefused = last === 'not-run' && (key !== undefined || attempts.every(({outcome}) => outcome === 'not-run' || outcome === 'unreachable'));
+	return isRefused ? 'not-run' : 'no-answer';
 };
 
 const isOwnAnswer = (result: AttemptResult, expected: {readonly requestId: string; readonly key: string | undefined}): boolean => {
@@ -121,66 +133,97 @@
 		};
 	};
 
-	/** Asks after a key until it is settled; `answerable` once any entry told its state. */
-	const askAfter = async (request: CallerRequest, key: string): Promise<'done' | 'answerable' | 'silent'> => {
+	const askOnce = async (request: CallerRequest, key: string, question: number): Promise<string | undefined> => {
+		const addresses = await findEntries(request.route.service);
+		const address = addresses[question % Math.max(1, addresses.length)];
 		const query = new URLSearchParams({service: request.route.service, key});
-		let heard: 'answerable' | 'silent' = 'silent';
-		for (let question = 0; question < questions; question += 1) {
-			const addresses = await findEntries(request.route.service); // eslint-disable-line no-await-in-loop -- one question after another
-			const address = addresses[question % Math.max(1, addresses.length)];
-			const result = address && await sendAttempt({ // eslint-disable-line no-await-in-loop -- one question after another
-				address,
-				method: 'GET',
-				path: `/orders?${query.toString()}`,
-				headers: {[tenantHeader]: request.tenant},
-				body: '',
-				timeoutMs: questionTimeoutMs,
-				agent,
-			});
-			if (result?.status === 200) {
-				heard = 'answerable';
-				if ((JSON.parse(result.body) as {state?: string}).state === 'done') {
-					return 'done';
-				}
+		const result = address && await sendAttempt({
+			address,
+			method: 'GET',
+			path: `/orders?${query.toString()}`,
+			headers: {[tenantHeader]: request.tenant},
+			body: '',
+			timeoutMs: questionTimeoutMs,
+			agent,
+		});
+		return result?.status === 200 ? (JSON.parse(result.body) as {state?: string}).state : undefined;
+	};
+
+	/** Asks after a key until it is settled; `free` where a resend may run it, `answerable` where it stays in doubt. */
+	const askAfter = async (request: CallerRequest, key: string): Promise<'done' | 'free' | 'answerable' | 'silent'> => {
+		let told = 0;
+		for (let question = 0; question < questionsUnanswered && told < questionsUnsettled; question += 1) {
+			const state = await askOnce(request, key, question); // eslint-disable-line no-await-in-loop -- one question after another
+			if (state === 'done') {
+				return 'done';
 			}
 
+			if (state === 'absent' || state === 'released') {
+				return 'free';
+			}
+
+			told += state === undefined ? 0 : 1;
 			await delay(questionPauseMs); // eslint-disable-line no-await-in-loop -- one question after another
 		}
 
-		return heard;
+		return told > 0 ? 'answerable' : 'silent';
+	};
+
+	const sendWhileHelpful = async (request: CallerRequest, attempts: AttemptRecord[], limit: number): Promise<void> => {
+		const {route} = request;
+		const earlier = attempts.length;
+		while (attempts.length < limit) {
+			const addresses = await findEntries(route.service); // eslint-disable-line no-await-in-loop -- one attempt after another
+			if (addresses.length === 0) {
+				return;
+			}
+
+			const address = addresses[attempts.length % addresses.length]!;
+			const attempt = await attemptOnce(request, attempts.length + 1, address); // eslint-disable-line no-await-in-loop -- one attempt after another
+			attempts.push(attempt);
+			if (!mayHelp(attempt, attempts.slice(earlier), keyOf(request))) {
+				return;
+			}
+
+			if (attempts.length < limit) {
+				await delay(attempt.outcome === 'in-doubt' ? inDoubtPauseMs : resendPauseMs); // eslint-disable-line no-await-in-loop -- one attempt after another
+			}
+		}
+	};
+
+	/** An at-most-once request without an answer is in doubt to its caller too. */
+	const sendOrder = async (request: CallerRequest, key: string): Promise<CallerResult> => {
+		const attempts: AttemptRecord[] = [];
+		for (;;) {
+			await sendWhileHelpful(request, attempts, maximumOrderAttempts); // eslint-disable-line no-await-in-loop -- resends follow questions
+			const outcome = finalOutcome(attempts, key);
+			const result = {status: attempts.at(-1)?.status, attempts};
+			if (outcome !== 'in-doubt' && outcome !== 'no-answer') {
+				return {...result, outcome, askable: undefined};
+			}
+
+			const asked = await askAfter(request, key); // eslint-disable-line no-await-in-loop -- resends follow questions
+			if (asked === 'done') {
+				return {...result, outcome: 'answered', askable: true};
+			}
+
+			if (asked !== 'free' || attempts.length >= maximumOrderAttempts) {
+				return {...result, outcome: 'in-doubt', askable: asked !== 'silent'};
+			}
+		}
 	};
 
 	return {
 		async send(request) {
-			const {route} = request;
 			const key = keyOf(request);
-			const limit = key === undefined ? maximumAttempts : maximumOrderAttempts;
-			const attempts: AttemptRecord[] = [];
-			while (attempts.length < limit) {
-				const addresses = await findEntries(route.service); // eslint-disable-line no-await-in-loop -- one attempt after another
-				if (addresses.length === 0) {
-					break;
-				}
-
-				const address = addresses[attempts.length % addresses.length]!;
-				const attempt = await attemptOnce(request, attempts.length + 1, address); // eslint-disable-line no-await-in-loop -- one attempt after another
-				attempts.push(attempt);
-				if (!resendOutcomes.has(attempt.outcome)) {
-					break;
-				}
-
-				if (attempts.length < limit) {
-					await delay(resendPauseMs); // eslint-disable-line no-await-in-loop -- one attempt after another
-				}
+			if (key !== undefined) {
+				return sendOrder(request, key);
 			}
 
-			const outcome = finalOutcome(attempts);
-			const asked = outcome === 'in-doubt' && key !== undefined ? await askAfter(request, key) : undefined;
+			const attempts: AttemptRecord[] = [];
+			await sendWhileHelpful(request, attempts, maximumAttempts);
 			return {
-				outcome: asked === 'done' ? 'answered' : outcome,
-				status: attempts.at(-1)?.status,
-				askable: asked === undefined ? undefined : asked !== 'silent',
-				attempts,
+				outcome: finalOutcome(attempts, key), status: attempts.at(-1)?.status, askable: undefined, attempts,
 			};
 		},
 	};
--- a/packages/load/src/loadPlan.ts
+++ b/packages/load/src/loadPlan.ts
@@ -33,13 +33,15 @@
 
 /** A load. */
 export type LoadPlan = {
-	/** Entries to ask first with `lookup`; all entries with `fixed`. */
+	/** Entries to ask first with `lookup`; all entries with `fixed`. Read anew for each attempt. */
 	readonly entries: readonly SocketAddress[];
 	readonly entryChoice: EntryChoice;
 	readonly routes: readonly RouteLoad[];
 	readonly tenants: readonly TenantLoad[];
 	readonly requestsPerSecond: number;
 	readonly durationMs: number;
+	/** Requests at most; no limit but the duration where absent. */
+	readonly maximumRequests?: number;
 	/** Callers that each cache their own look-ups. */
 	readonly callers: number;
 	/** Client address that caller number i tells look-ups; its own connection's where absent. */
@@ -57,5 +59,5 @@
 	tenants: [{name: 'default', weight: 1}],
 	callers: 50,
 	maximumAttempts: 3,
-	maximumOrderAttempts: 12,
+	maximumOrderAttempts: 30,
 } as const satisfies Partial<LoadPlan>;
--- a/packages/load/src/runLoad.ts
+++ b/packages/load/src/runLoad.ts
@@ -51,7 +51,7 @@
 export const runLoad = async (plan: LoadPlan, hooks: LoadHooks = {}): Promise<LoadResult> => {
 	const clock = hooks.clock ?? monotonicClock;
 	const random = createRandom(plan.seed);
-	const arrivals = drawArrivals(plan.requestsPerSecond, plan.durationMs, random);
+	const arrivals = drawArrivals(plan.requestsPerSecond, plan.durationMs, random).slice(0, plan.maximumRequests);
 	const agent = new Agent({keepAlive: true, maxFreeSockets: 512});
 	const idPrefix = hooks.idPrefix ?? `load${plan.seed}`;
 	const records: RequestRecord[] = [];
--- a/packages/orders/src/__tests__/claimModel.ts
+++ b/packages/orders/src/__tests__/claimModel.ts
@@ -113,7 +113,7 @@
 						resolve(ok(outcomeOf(effect())));
 					},
 				},
-				...(pauses > 0
+				...(scenario.holdReplies && row.state === 'claimed'
 					? [{
 						label: `${label}, reply held up`, faults: 0, apply() {
 							const outcome = outcomeOf(effect());
@@ -293,7 +293,9 @@
 	void start('B', 1);
 	/** A claimer's state follows from its calls and what they saw. */
 	const histories = new Map<string, string>();
-	const stateKey = () => JSON.stringify([histories.get('A'), histories.get('B'), histories.get('world'), state.read(rowKey), late.map(({label}) => label), faults, pauses, clock.now(), [...runsBy], [...outcomes]]);
+	const stateKey = () => JSON.stringify([
+		histories.get('A'), histories.get('B'), histories.get('world'), state.read(rowKey), late.map(({label}) => label), faults, pauses, clock.now(), [...runsBy], [...outcomes],
+	]);
 	for (;;) {
 		await turn(); // eslint-disable-line no-await-in-loop -- lets the claimers go on to their next calls
 		const choices = events();
