--- a/packages/measure/src/deploymentFaults.ts
+++ b/packages/measure/src/deploymentFaults.ts
@@ -2,7 +2,6 @@
  * Random faults on a whole deployment, repeatable by seed: the table service, upstreams, and
  * entries that are killed and replaced or paused.
  */
-import {setTimeout as delay} from 'node:timers/promises';
 import type {EntryProcess} from '@filbertwell/harness/entryProcess';
 import {requestJson} from '@filbertwell/harness/httpJson';
 import type {Deployment} from '@filbertwell/harness/startDeployment';
@@ -26,6 +25,8 @@
 	/** Called whenever entries have come or gone. */
 	readonly onEntries: () => void;
 	readonly upstreamFaults: Readonly<Record<string, number>>;
+	/** Entries that are neither killed nor stopped, so that their memory can be followed; they may be paused. */
+	readonly spared: ReadonlySet<string>;
 };
 
 /** Faults of the table service, one at a time; `undefined` for none. */
@@ -57,7 +58,7 @@
  * @param options - Deployment, random numbers and the end.
  * @returns How many faults there were.
  */
-export const runDeploymentFaults = async ({deployment, random, signal, onEntries, upstreamFaults}: DeploymentFaultOptions): Promise<FaultCounts> => {
+export const runDeploymentFaults = async ({deployment, random, signal, onEntries, upstreamFaults, spared}: DeploymentFaultOptions): Promise<FaultCounts> => {
 	const {host, port} = deployment.platformAddress;
 	const paused = new Set<EntryProcess>();
 	const counts = {
@@ -112,7 +113,9 @@
 
 			const entry = pick(candidates, random);
 			const draw = random();
-			if (draw < 0.4) {
+			if (spared.has(entry.placement.id)) {
+				running.push(pauseEntry(entry));
+			} else if (draw < 0.4) {
 				running.push(replace(entry, 'kill'));
 			} else {
 				running.push(draw < 0.8 ? pauseEntry(entry) : replace(entry, 'stop'));
@@ -130,6 +133,5 @@
 	await Promise.all([strikeStore(), strikeEntries()]);
 	await setStoreFault(undefined);
 	await setUpstreamFaults(Object.fromEntries(Object.keys(upstreamFaults).map(name => [name, 0])));
-	await delay(0);
 	return counts;
 };
--- a/packages/measure/src/experiments/orderFaults.ts
+++ b/packages/measure/src/experiments/orderFaults.ts
@@ -71,6 +71,7 @@
 				entries.splice(0, entries.length, ...addressesOf(deployment));
 			},
 			upstreamFaults,
+			spared: new Set(),
 		});
 		const load = await runLoad(plan);
 		end.abort();
--- /dev/null
+++ b/packages/measure/src/soak.ts
@@ -0,0 +1,111 @@
+#!/usr/bin/env node
+/**
+ * `npm run soak`: a whole deployment under mixed load with random faults, its promises checked
+ * at the upstreams' ledgers, and memory and handles of an entry followed to the end.
+ */
+import process from 'node:process';
+import {startDeployment, type Deployment} from '@filbertwell/harness/startDeployment';
+import {checkPromises} from '@filbertwell/load/checkPromises';
+import type {RequestRecord} from '@filbertwell/load/callerRecord';
+import {defaultLoadPlan, type LoadPlan, type RouteLoad} from '@filbertwell/load/loadPlan';
+import {runLoad} from '@filbertwell/load/runLoad';
+import {waitUnlessAborted} from '@filbertwell/utils/periodic';
+import {createRandom} from '@filbertwell/utils/random';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {runDeploymentFaults} from './deploymentFaults.js';
+import {sampleUse, trendOf, type UseSample} from './processUse.js';
+import {readLedgers} from './readLedgers.js';
+
+const millisecondsPerMinute = 60_000;
+const requestsPerSecond = 120;
+const sampleIntervalMs = 2000;
+const upstreamFaults = {
+	failBeforeProbability: 0.01, resetAfterProbability: 0.005, truncateProbability: 0.002, stragglerProbability: 0.01,
+};
+
+const read: RouteLoad = {
+	name: 'stock-check', service: 'inventory', method: 'GET', path: '/inventory/items/1', kind: 'idempotent', requestClass: 'interactive', weight: 8, bodyBytes: 0, deadlineMs: 1000,
+};
+const order: RouteLoad = {
+	name: 'place-order', service: 'orders', method: 'POST', path: '/orders/place', kind: 'atMostOnce', requestClass: 'critical', weight: 2, bodyBytes: 300, deadlineMs: 2000,
+};
+
+const parseArguments = async () => yargs(hideBin(process.argv))
+	.scriptName('npm run soak --')
+	.usage('$0 --minutes N [--seed N]')
+	.option('minutes', {type: 'number', demandOption: true, describe: 'Length of the load'})
+	.option('seed', {type: 'number', default: 1, describe: 'Seed of faults and load'})
+	.example('$0 --minutes 10 --seed 3', 'Ten minutes of random faults')
+	.strict()
+	.parse();
+
+const addressesOf = (deployment: Deployment) => deployment.entries().map(({placement}) => placement.callers);
+
+const followUse = async (pid: number, signal: AbortSignal): Promise<readonly UseSample[]> => {
+	const samples: UseSample[] = [];
+	do {
+		const sample = await sampleUse(pid); // eslint-disable-line no-await-in-loop -- samples follow the clock
+		if (sample !== undefined) {
+			samples.push(sample);
+		}
+	} while (await waitUnlessAborted(sampleIntervalMs, signal)); // eslint-disable-line no-await-in-loop -- samples follow the clock
+
+	return samples;
+};
+
+const soak = async (deployment: Deployment, minutes: number, seed: number) => {
+	const entries = addressesOf(deployment);
+	const followed = deployment.entries()[0]!;
+	const end = new AbortController();
+	const striking = runDeploymentFaults({
+		deployment,
+		random: createRandom(seed + 1),
+		signal: end.signal,
+		onEntries() {
+			entries.splice(0, entries.length, ...addressesOf(deployment));
+		},
+		upstreamFaults,
+		spared: new Set([followed.placement.id]),
+	});
+	const following = followUse(followed.process.pid, end.signal);
+	const records: RequestRecord[] = [];
+	const plan: LoadPlan = {
+		...defaultLoadPlan, entries, routes: [read, order], requestsPerSecond, durationMs: minutes * millisecondsPerMinute, seed,
+	};
+	const load = await runLoad(plan, {
+		onRecord(record) {
+			records.push(record);
+		},
+	});
+	end.abort();
+	const faults = await striking;
+	const use = trendOf(await following);
+	const ledger = await readLedgers(deployment);
+	const orders = checkPromises(records.filter(({kind}) => kind === 'atMostOnce'), ledger);
+	const reads = checkPromises(records.filter(({kind}) => kind === 'idempotent'), ledger);
+	const broken = [orders.lost, orders.doubled, orders.notRunButRan, orders.foreign, orders.inDoubtUnasked, reads.notRunButRan, reads.foreign];
+	return {
+		seed,
+		minutes,
+		requests: load.requests,
+		outcomes: load.outcomes,
+		orders,
+		reads: {
+			unanswered: reads.lost, notRunButRan: reads.notRunButRan, foreign: reads.foreign, cutOff: reads.cutOff,
+		},
+		faults,
+		use,
+		ok: broken.every(count => count === 0) && use.flat,
+	};
+};
+
+const options = await parseArguments();
+const deployment = await startDeployment({name: 'rodalar', seed: options.seed});
+try {
+	const result = await soak(deployment, options.minutes, options.seed);
+	process.stdout.write(`${JSON.stringify(result)}\n`);
+	process.exitCode = result.ok ? 0 : 1;
+} finally {
+	await deployment.stop();
+}
