Count answers that are being kept as pending; bound pending outcomes at 2,000

Cause: stop could end while a large answer was on its way to the object store; 10,000 outcomes of 32 KiB are too much for a small instance. Change: the outcome writer tracks outcomes from the moment of the answer; refused writes are logged.

--- a/packages/orders/src/orderFlow.ts
+++ b/packages/orders/src/orderFlow.ts
@@ -18,7 +18,7 @@
 	DispatchOutcome, KeptAnswer, Order, OrderOutcome,
 } from './orders.js';
 import type {OrderTable} from './orderTable.js';
-import type {OutcomeWriter} from './outcomeWriter.js';
+import type {Outcome, OutcomeWriter} from './outcomeWriter.js';
 
 /** Parameters of the flow. */
 export type OrderFlowOptions = {
@@ -77,9 +77,9 @@
 		outcomes.write({rowKey, revision, row: {...rowBase(row), state: 'released', reason}});
 	};
 
-	const recordAnswer = async ({rowKey, revision, row}: OwnClaim, answer: KeptAnswer): Promise<void> => {
-		outcomes.write({rowKey, revision, row: {...rowBase(row), state: 'done', kept: await kept.keep(row.token, answer)}});
-	};
+	const prepareAnswer = async ({rowKey, revision, row}: OwnClaim, answer: KeptAnswer): Promise<Outcome> => ({
+		rowKey, revision, row: {...rowBase(row), state: 'done', kept: await kept.keep(row.token, answer)},
+	});
 
 	const recordDoubt = ({rowKey, revision, row}: OwnClaim, reason: string): void => {
 		log(ordersEvents.orderInDoubt, {row: rowKey, reason});
@@ -105,7 +105,7 @@
 		const outcome = await dispatchSafely(order);
 		switch (outcome.kind) {
 			case 'answered': {
-				void recordAnswer(claim, outcome.answer);
+				outcomes.writePrepared(prepareAnswer(claim, outcome.answer));
 				return outcome;
 			}
 
--- a/packages/orders/src/orderLimits.ts
+++ b/packages/orders/src/orderLimits.ts
@@ -46,7 +46,7 @@
 	claimTries: 3,
 	maximumRowAnswerLength: 32_768,
 	maximumKeptAnswerLength: 4_194_304,
-	maximumPendingOutcomes: 10_000,
+	maximumPendingOutcomes: 2000,
 	firstOutcomeRetryMs: 100,
 	maximumOutcomeRetryMs: 5000,
 	stopFlushMs: 5000,
--- a/packages/orders/src/outcomeWriter.ts
+++ b/packages/orders/src/outcomeWriter.ts
@@ -31,6 +31,8 @@
 /** Writes outcomes. */
 export type OutcomeWriter = {
 	readonly write: (outcome: Outcome) => void;
+	/** Writes an outcome that is still being prepared. */
+	readonly writePrepared: (preparing: Promise<Outcome>) => void;
 	readonly pending: () => number;
 	/** Settles when nothing is pending. */
 	readonly idle: () => Promise<void>;
@@ -62,7 +64,12 @@
 	const tryOnce = async (rowKey: string, revision: number, row: OrderRow): Promise<Attempt> => {
 		const written = await table.write(rowKey, revision, row);
 		if (written.isErr()) {
-			return written.error.kind === 'invalid' ? 'finished' : 'again';
+			const {kind, detail} = written.error;
+			if (kind === 'invalid') {
+				log(ordersEvents.outcomeDropped, {row: rowKey, state: row.state, detail});
+			}
+
+			return kind === 'invalid' ? 'finished' : 'again';
 		}
 
 		return written.value.kind === 'written' ? 'finished' : afterConflict(row, written.value.current);
@@ -99,14 +106,22 @@
 		pending.delete(writing);
 	};
 
+	const writePrepared = async (preparing: Promise<Outcome>): Promise<void> => {
+		const outcome = await preparing;
+		if (pending.size > limits.maximumPendingOutcomes) {
+			log(ordersEvents.outcomeDropped, {row: outcome.rowKey, state: outcome.row.state});
+			return;
+		}
+
+		await writeUntilDone(outcome);
+	};
+
 	return {
 		write(outcome) {
-			if (pending.size >= limits.maximumPendingOutcomes) {
-				log(ordersEvents.outcomeDropped, {row: outcome.rowKey, state: outcome.row.state});
-				return;
-			}
-
-			void track(writeUntilDone(outcome));
+			void track(writePrepared(Promise.resolve(outcome)));
+		},
+		writePrepared(preparing) {
+			void track(writePrepared(preparing));
 		},
 		pending: () => pending.size,
 		async idle() {
