--- a/packages/entry/src/outcomeAnswer.ts
+++ b/packages/entry/src/outcomeAnswer.ts
@@ -9,12 +9,12 @@
 
 const statusOfRefusal: Readonly<Record<RefusalReason, number>> = {
 	unknownService: 404,
+	noZone: 503,
 	deadlineTooShort: 503,
 	queueFull: 503,
 	displaced: 503,
 	waitedTooLong: 503,
 	noEndpoint: 503,
-	noCapacity: 503,
 	refusedByUpstream: 503,
 	unreachable: 503,
 };
--- a/packages/routing/src/createRouter.ts
+++ b/packages/routing/src/createRouter.ts
@@ -33,8 +33,8 @@
 	readonly metrics: Pick<Metrics, 'increment'>;
 	/** This entry. */
 	readonly self: Self;
-	/** Where steering sends the next request of a class. */
-	readonly chooseZone: (service: string, requestClass: RequestClass) => ZoneChoice;
+	/** Where steering sends the next request of a class; without it, locality chooses. */
+	readonly chooseZone?: (service: string, requestClass: RequestClass) => ZoneChoice;
 	/** Asks an endpoint for its load; without it only reports on answers and by `observeReport` are known. */
 	readonly fetchReport?: FetchReport;
 	/** Timers; those of the process by default. */
@@ -64,6 +64,8 @@
 
 const defaultWeight = 1;
 
+const leaveToLocality = (): ZoneChoice => ({kind: 'anywhere'});
+
 /**
  * Creates a router. Before `configure` it refuses every request as not run.
  *
@@ -71,7 +73,7 @@
  * @returns The router.
  */
 export const createRouter = (options: RouterOptions): Router => {
-	const {clock, random, log, metrics, self, chooseZone, fetchReport = async () => undefined, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
+	const {clock, random, log, metrics, self, chooseZone = leaveToLocality, fetchReport = async () => undefined, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
 	const linkCaps = createLinkCaps(clock, self.region);
 	const services = new Map<string, ServiceRouter>();
 	let weights: ReadonlyMap<string, number> = new Map();
--- a/packages/routing/src/routedRequest.ts
+++ b/packages/routing/src/routedRequest.ts
@@ -19,12 +19,12 @@
 /** Why a request was refused before any endpoint ran it. */
 export type RefusalReason =
 	| 'unknownService'
+	| 'noZone'
 	| 'deadlineTooShort'
 	| 'queueFull'
 	| 'displaced'
 	| 'waitedTooLong'
 	| 'noEndpoint'
-	| 'noCapacity'
 	| 'refusedByUpstream'
 	| 'unreachable';
 
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -234,11 +234,12 @@
 			const choice = chooseZone(request.route.requestClass);
 			if (choice.kind === 'refused') {
 				return {
-					kind: 'not-run', reason: 'noCapacity', detail: 'no availability zone may take more of the service under the shift caps', attempts: 0,
+					kind: 'not-run', reason: 'noZone', detail: 'no availability zone may take more of the service under the shift caps', attempts: 0,
 				};
 			}
 
-			const tiers = tiersFor(choice.kind === 'zone' ? choice.availabilityZone : undefined);
+			const zone = choice.kind === 'zone' ? choice.availabilityZone : undefined;
+			const tiers = tiersFor(zone);
 			const isLong = duration.isLong();
 			const lane = `${tiers[0]?.trackers[0]?.region ?? ''}/${isLong ? 'long' : 'short'}`;
 			const needBase = {tiers, isLong, mayProbe: request.route.kind === 'idempotent'};
@@ -263,7 +264,7 @@
 							...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
 						}, duration, request.tenant);
 					if (leased === undefined) {
-						searchRoom(choice.kind === 'zone' ? choice.availabilityZone : undefined);
+						searchRoom(zone);
 					}
 
 					return leased;
