Harness: a guarded block of ports for each deployment

Cause: deployments that ran side by side took each other's ports between the search and the listen; a test failed with 'did not listen'. Change: each deployment reserves an aligned block below the ports of outgoing connections and holds its first port open. Conclusion: no two deployments share a block.

--- a/packages/harness/src/portBlock.ts
+++ b/packages/harness/src/portBlock.ts
@@ -1,47 +1,88 @@
 /**
- * Blocks of consecutive free ports on loopback, for the endpoints of an intent.
+ * Ports on loopback for a deployment whose processes must know their ports before they start.
+ *
+ * A deployment reserves an aligned block and holds its first port open as a guard, so that
+ * deployments that run side by side never share one. Blocks lie below the ports that the
+ * operating system gives to outgoing connections.
  */
 import {once} from 'node:events';
-import {createServer} from 'node:net';
+import {createServer, type Server} from 'node:net';
 import type {Random} from '@filbertwell/utils/random';
 
-/** Lowest port that is tried; below it services of the machine may listen. */
-const lowestPort = 12_000;
-/** Ports from here on are given to outgoing connections by the operating system. */
-const highestPort = 32_000;
-const maximumTries = 50;
+/** Ports of one deployment. */
+export type PortBlock = {
+	/** Takes consecutive ports; returns the first. Throws where the block is used up. */
+	readonly take: (count: number) => number;
+	/** Gives the block free. */
+	readonly release: () => void;
+};
 
-const isFree = async (host: string, port: number): Promise<boolean> => {
+const blockSize = 512;
+const firstBlock = 24;
+const lastBlock = 62;
+const maximumTries = 200;
+
+const listen = async (host: string, port: number): Promise<Server | undefined> => {
 	const server = createServer();
 	server.listen(port, host);
 	try {
 		await once(server, 'listening');
+		return server;
 	} catch {
-		return false;
+		return undefined;
 	}
+};
+
+const isFree = async (host: string, port: number): Promise<boolean> => {
+	const server = await listen(host, port);
+	server?.close();
+	return server !== undefined;
+};
+
+const areFree = async (host: string, base: number): Promise<boolean> => {
+	const free = await Promise.all(Array.from({length: blockSize - 1}, async (_, index) => isFree(host, base + 1 + index)));
+	return free.every(Boolean);
+};
+
+const createBlock = (base: number, guard: Server): PortBlock => {
+	let next = base + 1;
+	return {
+		take(count) {
+			const first = next;
+			next += count;
+			if (next > base + blockSize) {
+				throw new Error(`${count} more ports are not left in the block of ${blockSize} from ${base} on; raise blockSize`);
+			}
 
-	server.close();
-	await once(server, 'close');
-	return true;
+			return first;
+		},
+		release() {
+			guard.close();
+		},
+	};
 };
 
 /**
- * Finds consecutive ports that are free now.
+ * Reserves a block of ports.
  *
- * @param count - How many.
- * @param random - Where to start looking; let it differ between deployments that run side by side.
+ * @param random - Where to look first; let it differ between deployments that run side by side.
  * @param host - Address to listen on.
- * @returns The first port of the block.
- * @throws If no block is found.
+ * @returns The block.
+ * @throws If every block that was tried is in use.
  */
-export const findPortBlock = async (count: number, random: Random, host = '127.0.0.1'): Promise<number> => {
+export const reservePortBlock = async (random: Random, host = '127.0.0.1'): Promise<PortBlock> => {
 	for (let attempt = 0; attempt < maximumTries; attempt += 1) {
-		const base = lowestPort + Math.floor(random() * (highestPort - lowestPort - count));
-		const free = await Promise.all(Array.from({length: count}, async (_, index) => isFree(host, base + index))); // eslint-disable-line no-await-in-loop
-		if (free.every(Boolean)) {
-			return base;
+		const base = blockSize * (firstBlock + Math.floor(random() * (lastBlock - firstBlock)));
+		const guard = await listen(host, base); // eslint-disable-line no-await-in-loop -- the next block only if this one is taken
+		if (guard !== undefined) {
+			guard.unref();
+			if (await areFree(host, base)) { // eslint-disable-line no-await-in-loop
+				return createBlock(base, guard);
+			}
+
+			guard.close();
 		}
 	}
 
-	throw new Error(`no ${count} consecutive free ports on ${host} between ${lowestPort} and ${highestPort}`);
+	throw new Error(`no free block of ${blockSize} ports on ${host} from ${blockSize * firstBlock} to ${blockSize * lastBlock}; end other deployments`);
 };
--- a/packages/harness/src/startDeployment.ts
+++ b/packages/harness/src/startDeployment.ts
@@ -18,9 +18,8 @@
 import {createRandom} from '@filbertwell/utils/random';
 import {deploymentShape, endpointCount, type DeploymentName} from './deploymentShape.js';
 import {startEntry, type EntryProcess} from './entryProcess.js';
-import {findFreePorts} from './freePorts.js';
 import {requestJson} from './httpJson.js';
-import {findPortBlock} from './portBlock.js';
+import {reservePortBlock} from './portBlock.js';
 import {startProcess, stopProcess, type RunningProcess} from './startProcess.js';
 import {startUpstreams, type UpstreamProcess} from './upstreamProcess.js';
 import {waitUntil} from './waitUntil.js';
@@ -76,6 +75,8 @@
 
 const startTimeoutMs = 30_000;
 const stopGraceMs = 3000;
+/** For callers, operators and peers. */
+const portsPerEntry = 3;
 const platformTimeoutMs = 5000;
 const platformScript = createRequire(import.meta.url).resolve('@filbertwell/standins/platformMain');
 const host = '127.0.0.1';
@@ -108,13 +109,13 @@
 	const directory = await mkdtemp(path.join(os.tmpdir(), `filbertwell-${options.name}-`));
 	const random = createRandom((options.seed * 7919) + process.pid);
 	const shape = deploymentShape(options.name);
-	const endpoints = endpointCount(shape.createIntent({host, basePort: 1}));
-	const basePort = await findPortBlock(endpoints, random);
+	const ports = await reservePortBlock(random);
+	const basePort = ports.take(endpointCount(shape.createIntent({host, basePort: 1})));
 	let intent = options.adapt(shape.createIntent({host, basePort}));
 	const zones = intent.regions.flatMap(region => region.availabilityZones.map(availabilityZone => ({region: region.name, availabilityZone})));
 
-	const [platformPort, ...controlPorts] = await findFreePorts(1 + zones.length);
-	const platformAddress = {host, port: platformPort!};
+	const platformAddress = {host, port: ports.take(1)};
+	const firstControlPort = ports.take(zones.length);
 	const platformProcess = await startPlatform(platformAddress.port, directory);
 	const platform = createHttpPlatform({
 		address: platformAddress, timeoutMs: platformTimeoutMs, clock: monotonicClock, random, log: silentLogger,
@@ -122,7 +123,7 @@
 	const upstreams = await Promise.all(zones.map(async ({availabilityZone}, index) => startUpstreams({
 		intent,
 		availabilityZone,
-		controlPort: controlPorts[index]!,
+		controlPort: firstControlPort + index,
 		serviceTimeMs: options.serviceTimeMs,
 		responseBytes: options.responseBytes,
 		directory,
@@ -134,13 +135,13 @@
 
 	const addEntry = async (zone: {readonly region: string; readonly availabilityZone: string}): Promise<EntryProcess> => {
 		started += 1;
-		const [callers, admin, peers] = await findFreePorts(3);
+		const firstPort = ports.take(portsPerEntry);
 		const entry = await startEntry({
 			id: `entry-${started}`,
 			...zone,
-			callers: {host, port: callers!},
-			admin: {host, port: admin!},
-			peers: {host, port: peers!},
+			callers: {host, port: firstPort},
+			admin: {host, port: firstPort + 1},
+			peers: {host, port: firstPort + 2},
 			platform: platformAddress,
 			seeds: [...entries.values()].slice(0, 3).map(other => other.placement.peers),
 			extraLines: options.entrySettings,
@@ -179,6 +180,7 @@
 		await Promise.all(upstreams.map(async upstream => stopProcess(upstream.process, stopGraceMs)));
 		platform.close();
 		await stopProcess(platformProcess, stopGraceMs);
+		ports.release();
 		await rm(directory, {recursive: true, force: true});
 	};
 
