--- a/packages/routing/src/createRouter.ts
+++ b/packages/routing/src/createRouter.ts
@@ -8,10 +8,11 @@
 import type {Configuration} from '@filbertwell/types/configuration';
 import {type RequestClass, requestClasses} from '@filbertwell/types/intent';
 import type {LoadReport} from '@filbertwell/types/loadReport';
+import type {ZoneChoice} from '@filbertwell/types/zoneChoice';
 import type {Clock} from '@filbertwell/utils/clock';
 import type {Random} from '@filbertwell/utils/random';
 import type {Send} from './attempt.js';
-import {drainedEndpoints} from './drainedEndpoints.js';
+import {drainedEndpoints, drainingZones} from './drainedEndpoints.js';
 import type {SlotDivision} from './endpointChoice.js';
 import type {EndpointTracker} from './endpointTracker.js';
 import {createLinkCaps} from './linkCap.js';
@@ -32,8 +33,8 @@
 	readonly metrics: Pick<Metrics, 'increment'>;
 	/** This entry. */
 	readonly self: Self;
-	/** Zone of the next request by steering; `undefined` refuses it. Without steering, locality chooses. */
-	readonly chooseZone?: (service: string, requestClass: RequestClass) => string | undefined;
+	/** Where steering sends the next request of a class; without it, locality chooses. */
+	readonly chooseZone?: (service: string, requestClass: RequestClass) => ZoneChoice;
 	/** Asks an endpoint for its load; without it only reports on answers and by `observeReport` are known. */
 	readonly fetchReport?: FetchReport;
 	/** Timers; those of the process by default. */
@@ -63,6 +64,8 @@
 
 const defaultWeight = 1;
 
+const leaveToLocality = (): ZoneChoice => ({kind: 'anywhere'});
+
 /**
  * Creates a router. Before `configure` it refuses every request as not run.
  *
@@ -70,7 +73,7 @@
  * @returns The router.
  */
 export const createRouter = (options: RouterOptions): Router => {
-	const {clock, random, log, metrics, self, chooseZone, fetchReport = async () => undefined, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
+	const {clock, random, log, metrics, self, chooseZone = leaveToLocality, fetchReport = async () => undefined, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
 	const linkCaps = createLinkCaps(clock, self.region);
 	const services = new Map<string, ServiceRouter>();
 	let weights: ReadonlyMap<string, number> = new Map();
@@ -88,7 +91,7 @@
 		linkCaps,
 		division: slotDivision,
 		fetchReport,
-		chooseZone: chooseZone === undefined ? undefined : requestClass => chooseZone(service, requestClass),
+		chooseZone: requestClass => chooseZone(service, requestClass),
 		weightOf: tenant => weights.get(tenant) ?? defaultWeight,
 		onAttempt(cause) {
 			metrics.increment('attempts_total', {service, cause});
@@ -102,13 +105,14 @@
 	const configureServices = ({intent}: Configuration) => {
 		const regions = new Map(intent.regions.flatMap(({name, availabilityZones}) => availabilityZones.map(zone => [zone, name] as const)));
 		const drained = drainedEndpoints(intent);
+		const draining = drainingZones(intent);
 		weights = new Map(intent.tenants.map(({name, weight}) => [name, weight]));
 		linkCaps.configure(intent.linkCaps, region => entries.filter(entry => entry.region === region).length);
 		for (const service of intent.services) {
 			const router = services.get(service.name) ?? createService(service.name);
 			services.set(service.name, router);
 			router.configure({
-				service, entries, drained, regionOf: zone => regions.get(zone),
+				service, entries, drained, draining, regionOf: zone => regions.get(zone),
 			});
 			router.setListedLeaving(isListedLeaving);
 		}
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -3,6 +3,7 @@
  */
 import type {Clock} from '@filbertwell/utils/clock';
 import type {RequestClass} from '@filbertwell/types/intent';
+import type {ZoneChoice} from '@filbertwell/types/zoneChoice';
 import {canMeetDeadline} from './admission.js';
 import type {AttemptCause, Send} from './attempt.js';
 import {createAttemptBudget, hedgeShare, retryShare} from './attemptBudget.js';
@@ -34,8 +35,7 @@
 /** Parameters of a service's router. */
 export type ServiceRouterOptions = PoolOptions & {
 	readonly schedule: Schedule;
-	/** Zone by steering; absent without steering. */
-	readonly chooseZone: ((requestClass: RequestClass) => string | undefined) | undefined;
+	readonly chooseZone: (requestClass: RequestClass) => ZoneChoice;
 	readonly weightOf: (tenant: string) => number;
 	readonly onAttempt: (cause: AttemptCause) => void;
 	readonly fetchReport: FetchReport;
@@ -69,11 +69,14 @@
 	let inFlight = 0;
 	let longInFlight = 0;
 	let isLookingAgain = false;
+	let draining: ReadonlySet<string> = new Set();
 
 	const tiersFor = (zone: string | undefined): readonly Tier[] => {
 		const key = zone ?? '';
 		const known = tiersByZone.get(key);
-		const tiers = known ?? localityOrder(pool.trackers(), self, zone);
+		const tiers = known ?? localityOrder({
+			trackers: pool.trackers(), self, chosenZone: zone, draining,
+		});
 		tiersByZone.set(key, tiers);
 		return tiers;
 	};
@@ -221,18 +224,20 @@
 	return {
 		configure(layout) {
 			pool.configure(layout);
+			draining = layout.draining;
 			tiersByZone.clear();
 			queue.startReady();
 		},
 		async route(request, send) {
 			const duration = durations.ofRoute(request.route.name);
-			const zone = chooseZone?.(request.route.requestClass);
-			if (chooseZone !== undefined && zone === undefined) {
+			const choice = chooseZone(request.route.requestClass);
+			if (choice.kind === 'refused') {
 				return {
-					kind: 'not-run', reason: 'noZone', detail: 'no availability zone may take more of this service now', attempts: 0,
+					kind: 'not-run', reason: 'noZone', detail: 'no availability zone may take more of the service under the shift caps', attempts: 0,
 				};
 			}
 
+			const zone = choice.kind === 'zone' ? choice.availabilityZone : undefined;
 			const tiers = tiersFor(zone);
 			const isLong = duration.isLong();
 			const lane = `${tiers[0]?.trackers[0]?.region ?? ''}/${isLong ? 'long' : 'short'}`;
