Routing: a single long answer no longer ejects an endpoint

The moving mean of slowness had a weight of 0.25 and samples of up to 10 times the median, so that one long answer passed the threshold of 3; in a region of four endpoints two such ejections left only the draining zone, and the rule that more than half are never left out counted the whole service. Ruled out: steering (splits moved exactly at the cap) and claims (orders were not slower). Change: a geometric mean; the rule counts the endpoints that the request may reach; slowness up to twice the usual does not repel requests, so that a suspect is measured again.

--- a/packages/routing/src/__tests__/health.test.ts
+++ b/packages/routing/src/__tests__/health.test.ts
@@ -1,5 +1,6 @@
 import {expect, test} from 'vitest';
 import {createManualClock} from '@filbertwell/utils/clock';
+import {createRandom} from '@filbertwell/utils/random';
 import {createAdaptiveLimit} from '../adaptiveLimit.js';
 import {createLinkCaps} from '../linkCap.js';
 import {createEndpointHealth} from '../outlierDetection.js';
@@ -114,3 +115,13 @@
 	expect(caps.mayUse('south')).toBe(false);
 	expect(caps.mayUse('west')).toBe(true);
 });
+
+test('a steady endpoint with exponential service times is hardly ever taken for a slow one', () => {
+	const random = createRandom(21);
+	const {health, changes} = startHealth();
+	for (let index = 0; index < 20_000; index += 1) {
+		health.recordAnswer(-Math.log(1 - random()) / Math.LN2);
+	}
+
+	expect(changes.filter(state => state === 'ejected').length).toBeLessThan(20);
+});
--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -9,9 +9,10 @@
  * between two requests of its owner. Long requests stop borrowing much earlier, since they keep
  * the slot for many times longer than a report is true, and short ones would wait behind them.
  *
- * Left out are endpoints that are leaving, ejected ones (unless more than half of the service's
- * endpoints are: then the fault is likely not theirs, and none is left out), and, while there
- * is another, those whose oldest request has been waiting for several times its usual time.
+ * Left out are endpoints that are leaving, ejected ones (unless more than half of those that the
+ * request may reach are: then the fault is likely not theirs, or the rest could not carry the
+ * load, and none is left out), and, while there is another, those whose oldest request has been
+ * waiting for several times its usual time.
  */
 import type {Random} from '@filbertwell/utils/random';
 import type {EndpointTracker} from './endpointTracker.js';
@@ -34,7 +35,7 @@
 };
 
 /** Choice of an endpoint. */
-export type EndpointChoice = (need: Need, all: readonly EndpointTracker[]) => EndpointTracker | undefined;
+export type EndpointChoice = (need: Need) => EndpointTracker | undefined;
 
 /** Parameters of the choice. */
 export type ChoiceOptions = {
@@ -46,6 +47,8 @@
 };
 
 const stalledAge = 2.5;
+/** Slowness up to which an endpoint is not avoided: one that is avoided for a single long answer would never show that it is well. */
+const ordinarySlowness = 2;
 /** Free slots that a fresh report must show; one for rounding less than a whole. */
 const freshRoom = 0.9;
 /** Further free slots that the estimate must show as the report grows old. */
@@ -69,7 +72,7 @@
 };
 
 const relativeWork = (tracker: EndpointTracker): number =>
-	(tracker.inUse() + 1) / tracker.slots() * Math.max(1, tracker.health.slowness()) / tracker.health.share();
+	(tracker.inUse() + 1) / tracker.slots() * Math.max(1, tracker.health.slowness() / ordinarySlowness) / tracker.health.share();
 
 /**
  * Creates the choice.
@@ -113,9 +116,10 @@
 		return due;
 	};
 
-	return (need, all) => {
-		const ejected = all.filter(({health}) => health.state() === 'ejected').length;
-		const excludesEjected = ejected <= all.length / 2;
+	return need => {
+		const within = need.tiers.flatMap(({trackers}) => trackers).filter(tracker => !isLeaving(tracker));
+		const ejected = within.filter(({health}) => health.state() === 'ejected').length;
+		const excludesEjected = ejected <= within.length / 2;
 		const mayTake = (tracker: EndpointTracker) => !isLeaving(tracker) && !need.excluded.includes(tracker);
 
 		for (const {trackers, isRemote} of need.tiers) {
--- a/packages/routing/src/outlierDetection.ts
+++ b/packages/routing/src/outlierDetection.ts
@@ -28,7 +28,7 @@
 	/** Whether a probe has been due for so long that no copy of a request seems to come along. */
 	readonly probeIsOverdue: () => boolean;
 	readonly recordProbe: () => void;
-	/** Moving average of the time to first byte over the usual time of the route; 1 is usual. */
+	/** Moving geometric mean of the time to first byte over the usual time of the route; 1 is usual. */
 	readonly slowness: () => number;
 	/** Share of its usual work, from 0 to 1, below 1 in a slow start. */
 	readonly share: () => number;
@@ -44,7 +44,10 @@
 /** Called when the state changes. */
 export type HealthChange = (state: HealthState, reason: EjectionReason | undefined) => void;
 
-const slownessWeight = 0.25;
+const slownessWeight = 0.3;
+/** A probe is worth more than a sample among many, since there are few of them. */
+const probeFactor = 2;
+const smallestSample = 0.1;
 const largestSample = 10;
 const ejectionSlowness = 3;
 const recoverySlowness = 2;
@@ -68,7 +71,7 @@
  */
 export const createEndpointHealth = (clock: Clock, isNew: boolean, onChange: HealthChange): EndpointHealth => {
 	let ejection: EjectionReason | undefined;
-	let slowness = 1;
+	let logSlowness = 0;
 	let failureRate = 0;
 	let attempts = 0;
 	let probeMs = firstProbeMs;
@@ -93,21 +96,25 @@
 		onChange('healthy', undefined);
 	};
 
+	const slowness = () => Math.exp(logSlowness);
+
 	const judge = () => {
-		if (slowness > ejectionSlowness) {
+		if (slowness() > ejectionSlowness) {
 			eject('slow');
 		} else if (attempts >= minimumAttempts && failureRate > ejectionFailureRate) {
 			eject('failing');
-		} else if (ejection !== undefined && slowness < recoverySlowness && failureRate < recoveryFailureRate) {
+		} else if (ejection !== undefined && slowness() < recoverySlowness && failureRate < recoveryFailureRate) {
 			recover();
 		}
 	};
 
 	const observe = (sample: number, failed: number) => {
-		// A probe is worth more than a sample among many, since there are few of them.
-		const factor = ejection === undefined ? 1 : 2;
+		const factor = ejection === undefined ? 1 : probeFactor;
+		const bounded = Math.min(largestSample, Math.max(smallestSample, sample));
 		attempts += 1;
-		slowness += factor * slownessWeight * (Math.min(largestSample, sample) - slowness);
+		// The mean of the logarithms: one answer that takes ten times as long, as some always do,
+		// weighs no more than one that takes a tenth.
+		logSlowness += factor * slownessWeight * (Math.log(bounded) - logSlowness);
 		failureRate += factor * failureWeight * (failed - failureRate);
 		judge();
 	};
@@ -120,19 +127,19 @@
 		recordProbe() {
 			nextProbeAtMs = clock() + probeMs;
 		},
-		slowness: () => slowness,
+		slowness,
 		share: () => slowStartShare(rampFromMs === undefined ? undefined : clock() - rampFromMs),
 		recordAnswer(sample) {
 			observe(sample, 0);
 		},
 		recordUnanswered(sample) {
 			const likely = sample * unansweredFactor;
-			if (likely > slowness) {
+			if (likely > slowness()) {
 				observe(likely, failureRate);
 			}
 		},
 		recordFailure() {
-			observe(slowness, 1);
+			observe(slowness(), 1);
 		},
 		recordUnreachable() {
 			eject('unreachable');
