--- /dev/null
+++ b/packages/configuration/src/__tests__/collectionJob.test.ts
@@ -0,0 +1,54 @@
+import {silentLogger} from '@filbertwell/logger/logger';
+import {createMemoryPlatform} from '@filbertwell/platform/memoryPlatform';
+import {monotonicClock} from '@filbertwell/utils/clock';
+import {createRandom} from '@filbertwell/utils/random';
+import {expect, test, vi} from 'vitest';
+import {acceptConfiguration} from '../acceptConfiguration.js';
+import {startCollectionJob, type CollectionJob} from '../collectionJob.js';
+import {readHistory} from '../readConfiguration.js';
+import {drainedIntent} from './sampleIntent.js';
+
+const leaseKey = 'lease/collection/holder';
+
+test('one of several processes collects; when it stops another goes on; others never touch the lease', async () => {
+	const platform = createMemoryPlatform();
+	const start = (holder: string, isCandidate: () => boolean): CollectionJob => startCollectionJob({
+		platform,
+		holder,
+		isCandidate,
+		versionInForce: () => 0,
+		keptVersions: 2,
+		intervalMs: 5,
+		termMs: 60,
+		clock: monotonicClock,
+		random: createRandom(1),
+		log: silentLogger,
+	});
+	const acceptFrom = async (version: number) => {
+		for (let next = version; next < version + 3; next += 1) {
+			await acceptConfiguration({ // eslint-disable-line no-await-in-loop
+				platform, intent: drainedIntent(`${next}`), expectedVersion: next, changeId: `${next}`, author: '', acceptedAt: '', wait: async () => undefined,
+			});
+		}
+	};
+
+	const untilCollected = async (versions: readonly number[]) => {
+		await vi.waitFor(async () => {
+			const history = await readHistory(platform, 100);
+			expect(history._unsafeUnwrap().map(head => head.version)).toEqual(versions);
+		}, {timeout: 10_000, interval: 5});
+	};
+
+	const bystander = start('bystander', () => false);
+	expect(platform.state.read(leaseKey)).toBeUndefined();
+	const first = start('first', () => true);
+	await acceptFrom(0);
+	await untilCollected([3, 2]);
+	expect(platform.state.read(leaseKey)?.value).toContain('first');
+	const second = start('second', () => true);
+	await first.stop();
+	await acceptFrom(3);
+	await untilCollected([6, 5]);
+	expect(platform.state.read(leaseKey)?.value).toContain('second');
+	await Promise.all([second.stop(), bystander.stop()]);
+});
--- a/packages/entry/src/controlPlane.ts
+++ b/packages/entry/src/controlPlane.ts
@@ -2,6 +2,7 @@
  * What every process of the system runs for control: platform, peers, membership, the
  * configuration in force and look-ups. The look-up process has the same without the request path.
  */
+import {startCollectionJob} from '@filbertwell/configuration/collectionJob';
 import {createFollower} from '@filbertwell/configuration/createFollower';
 import type {ConfigurationFollower} from '@filbertwell/configuration/follower';
 import {selectPollers} from '@filbertwell/configuration/selectPollers';
@@ -16,6 +17,7 @@
 import type {MemberRole} from '@filbertwell/types/member';
 import type {SocketAddress} from '@filbertwell/types/place';
 import type {Clock} from '@filbertwell/utils/clock';
+import {rendezvousOrder} from '@filbertwell/utils/hash';
 import type {Random} from '@filbertwell/utils/random';
 import {createPeerConfigurationSource, serveConfigurationToPeers} from './peerConfiguration.js';
 
@@ -45,6 +47,12 @@
 /** Members up to which every process polls the head of the configuration. */
 const allPollUpTo = 16;
 const pollersPerZone = 2;
+/** Members that may hold the lease of the removal of old versions. */
+const collectionCandidates = 3;
+const collectionTermMs = 60_000;
+const collectionIntervalMs = 600_000;
+/** Versions that stay; a day's changes at the target size. */
+const keptVersions = 1000;
 
 /**
  * Starts the control plane.
@@ -99,6 +107,24 @@
 	});
 	serveConfigurationToPeers(channel, follower);
 
+	const isCollector = (): boolean => {
+		const ids = membership.members().filter(member => member.health === 'alive').map(member => member.id);
+		return rendezvousOrder('configuration-collection', ids).slice(0, collectionCandidates).includes(id);
+	};
+
+	const collection = startCollectionJob({
+		platform,
+		holder: `${id}/${membership.self().incarnation}`,
+		isCandidate: isCollector,
+		versionInForce: () => follower.current()?.version ?? 0,
+		keptVersions,
+		intervalMs: collectionIntervalMs,
+		termMs: collectionTermMs,
+		clock,
+		random,
+		log: createLogger('configuration'),
+	});
+
 	const lookup = createLookup({members: () => membership.members(), clock});
 	const subscription = follower.inForce.subscribe(configuration => {
 		membership.announceConfiguration(configuration.version);
@@ -113,6 +139,7 @@
 		lookup,
 		async stop() {
 			subscription.unsubscribe();
+			await collection.stop();
 			await follower.stop();
 			await membership.stop();
 			platform.close();
