--- a/packages/measure/src/experiments/configFollow.ts
+++ b/packages/measure/src/experiments/configFollow.ts
@@ -160,7 +160,7 @@
 				},
 				ratio: worstSeconds / baselineSeconds,
 				bound: `in force everywhere within ${maximumSeconds} s, worst case; no reverts, restarts included`,
-				ok: worstSeconds <= maximumSeconds && Math.max(...replacementSeconds) <= giveUpMs / millisecondsPerSecond && reverts === 0,
+				ok: worstSeconds <= maximumSeconds && Math.max(...replacementSeconds) <= maximumSeconds && reverts === 0,
 			};
 		} finally {
 			await deployment.stop();
--- a/packages/measure/src/experiments/storeLoad.ts
+++ b/packages/measure/src/experiments/storeLoad.ts
@@ -40,7 +40,7 @@
 	const control = await startControlPlane({
 		settings: {
 			process: {
-				id: `entry-${index}`, region: `region-${index % 3}`, availabilityZone: `zone-${index % zones}`, site: '',
+				id: `entry-${index}`, region: `region-${index % 3}`, availabilityZone: `zone-${index % zones}`, site: 'site-1',
 			},
 			peers: {host, port: 0, seeds: seeds.slice(0, 3).map(({channel}) => channel.address)},
 			platform: {...standin.address, timeoutMs: 2000, maximumCalls: 16},
