Measure: store-load extrapolates reads of the head apart from reads of the list

The list is read the more seldom the more members there are; its fall hid the slope of the head's reads.

--- a/packages/measure/src/experiments/storeLoad.ts
+++ b/packages/measure/src/experiments/storeLoad.ts
@@ -102,9 +102,13 @@
 	};
 };
 
-/** Reads a second at the target: the slope between two sizes, and the pollers of further zones. */
+/**
+ * Reads a second at the target. Reads of the head go on by their slope between two sizes, with the
+ * pollers of further zones. All other reads stay: processes read the list of instances the more
+ * seldom the more they are.
+ */
 const extrapolate = (small: Rates, large: Rates, furtherPollers: number): {readonly slope: number; readonly atTarget: number} => {
-	const slope = (large.readsPerSecond - small.readsPerSecond) / (large.members - small.members);
+	const slope = (large.headReadsPerSecond - small.headReadsPerSecond) / (large.members - small.members);
 	const pollReadsPerSecond = furtherPollers * millisecondsPerSecond / pollMs;
 	return {slope, atTarget: large.readsPerSecond + (slope * (targetMembers - large.members)) + pollReadsPerSecond};
 };
@@ -126,14 +130,14 @@
 			experiment: 'store-load',
 			seed,
 			baseline: {
-				readsPerSecondAt8: first.readsPerSecond, readsPerSecondAt16: second.readsPerSecond, readsPerSecondPerMember: allPoll.slope, readsPerSecondAtTarget: allPoll.atTarget,
+				readsPerSecondAt8: first.readsPerSecond, readsPerSecondAt16: second.readsPerSecond, headReadsPerSecondPerMember: allPoll.slope, readsPerSecondAtTarget: allPoll.atTarget,
 			},
 			value: {
 				readsPerSecondAt32: third.readsPerSecond,
 				readsPerSecondAt64: fourth.readsPerSecond,
 				headReadsPerSecondAt64: fourth.headReadsPerSecond,
 				writesPerSecondAt64: fourth.writesPerSecond,
-				readsPerSecondPerMember: fewPoll.slope,
+				headReadsPerSecondPerMember: fewPoll.slope,
 				readsPerSecondAtTarget: fewPoll.atTarget,
 			},
 			ratio: fewPoll.atTarget / allPoll.atTarget,
