--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -1,10 +1,14 @@
 /**
  * Choice of an endpoint for a request that is next in its queue. Within each tier of the
  * locality order, first a slot that this entry owns, then one borrowed where a fresh report
- * shows room. Among several, two are drawn at random and the one with less work for its slots
+ * shows room, then an owned one that another entry seems to have borrowed. Among several, two are drawn at random and the one with less work for its slots
  * wins, its work counted higher when it is slow: a plain minimum would send all entries to the
  * same endpoint at once.
  *
+ * Nothing is borrowed while the endpoints are full: what a report shows as free is then a slot
+ * between two requests of its owner. Long requests stop borrowing much earlier, since they keep
+ * the slot for many times longer than a report is true, and short ones would wait behind them.
+ *
  * Left out are endpoints that are leaving, ejected ones (unless more than half of the service's
  * endpoints are: then the fault is likely not theirs, and none is left out), and, while there
  * is another, those whose oldest request has been waiting for several times its usual time.
@@ -37,11 +41,19 @@
 	readonly random: Random;
 	readonly linkCaps: LinkCaps;
 	readonly division: SlotDivision;
+	/** Whether the endpoints are too full for requests to borrow. */
+	readonly isTooFull: (isLong: boolean) => boolean;
 };
 
-const stalledAge = 4;
-const roomForShort = 1;
-const roomForLong = 2;
+const stalledAge = 2.5;
+/** Free slots that a fresh report must show; one for rounding less than a whole. */
+const freshRoom = 0.9;
+/** Further free slots that the estimate must show as the report grows old. */
+const staleRoom = 1.1;
+/** Free slots below which another entry has likely borrowed what this one owns. */
+const roomOfOwner = 0.5;
+/** Further free slots for a long request, so that a short one still finds room. */
+const longRoom = 1;
 
 /** Whether an endpoint takes no new work. */
 export const isLeaving = (tracker: EndpointTracker): boolean => tracker.leavingSignals().length > 0;
@@ -51,8 +63,10 @@
 	return tracker.inFlight() < slots && (!isLong || tracker.longInFlight() < forLong);
 };
 
-const hasRoom = (tracker: EndpointTracker, isLong: boolean): boolean =>
-	tracker.inFlight() < tracker.slots() && tracker.free() >= (isLong ? roomForLong : roomForShort);
+const hasRoom = (tracker: EndpointTracker, isLong: boolean): boolean => {
+	const neededRoom = freshRoom + ((1 - tracker.trust()) * staleRoom) + (isLong ? longRoom : 0);
+	return tracker.inFlight() < tracker.slots() && tracker.free() >= neededRoom;
+};
 
 const relativeWork = (tracker: EndpointTracker): number =>
 	(tracker.inUse() + 1) / tracker.slots() * Math.max(1, tracker.health.slowness()) / tracker.health.share();
@@ -63,7 +77,7 @@
  * @param options - Random numbers, link caps and the way of dividing slots.
  * @returns Chooses an endpoint with room; `undefined` when none has.
  */
-export const createEndpointChoice = ({random, linkCaps, division}: ChoiceOptions): EndpointChoice => {
+export const createEndpointChoice = ({random, linkCaps, division, isTooFull}: ChoiceOptions): EndpointChoice => {
 	const draw = (candidates: readonly EndpointTracker[]) => candidates[Math.floor(random() * candidates.length)];
 
 	const lighterOfTwo = (candidates: readonly EndpointTracker[]): EndpointTracker | undefined => {
@@ -84,16 +98,17 @@
 
 	const chooseIn = (candidates: readonly EndpointTracker[], isLong: boolean): EndpointTracker | undefined => {
 		const owned = division === 'shared' ? [] : candidates.filter(candidate => ownsFreeSlot(candidate, isLong));
-		if (owned.length > 0) {
-			return lighterOfTwo(preferSteady(owned));
+		const unborrowed = owned.filter(candidate => candidate.free() >= roomOfOwner);
+		if (unborrowed.length > 0) {
+			return lighterOfTwo(preferSteady(unborrowed));
 		}
 
-		const roomy = division === 'owned' ? [] : candidates.filter(candidate => hasRoom(candidate, isLong));
-		return lighterOfTwo(preferSteady(roomy));
+		const roomy = division === 'owned' || (division === 'borrowed' && isTooFull(isLong)) ? [] : candidates.filter(candidate => hasRoom(candidate, isLong));
+		return lighterOfTwo(preferSteady(roomy)) ?? lighterOfTwo(preferSteady(owned));
 	};
 
 	const probe = (trackers: readonly EndpointTracker[]): EndpointTracker | undefined => {
-		const due = trackers.find(tracker => tracker.inFlight() === 0 && tracker.health.probeIsDue());
+		const due = trackers.find(tracker => tracker.inFlight() === 0 && tracker.health.probeIsOverdue());
 		due?.health.recordProbe();
 		return due;
 	};
