Clean up orders under a lease; split the upstream stand-in

Change: runOrderCleanup holds the lease and passes over the rows; what the stand-in reads from requests is a module of its own. Conclusion: tests of orders and standins pass. No program starts the clean-up yet.

--- /dev/null
+++ b/packages/orders/src/__tests__/orderCleanup.test.ts
@@ -0,0 +1,46 @@
+import {setImmediate as turn} from 'node:timers/promises';
+import {silentLogger} from '@filbertwell/logger/logger';
+import {createLease} from '@filbertwell/platform/lease';
+import {createMemoryPlatform, type MemoryPlatform} from '@filbertwell/platform/memoryPlatform';
+import {monotonicClock} from '@filbertwell/utils/clock';
+import {createRandom} from '@filbertwell/utils/random';
+import {expect, test} from 'vitest';
+import {runOrderCleanup} from '../orderCleanup.js';
+import {serializeOrderRow} from '../orderRow.js';
+
+const start = async (platform: MemoryPlatform, holder: string, signal: AbortSignal) => runOrderCleanup({
+	lease: createLease({
+		table: platform.table, name: 'order-cleanup', holder, termMs: 60_000, clock: monotonicClock, log: silentLogger,
+	}),
+	leaseIntervalMs: 1,
+	passIntervalMs: 60_000,
+	retentionMs: 1000,
+	pagePauseMs: 0,
+	table: platform.table,
+	objects: platform.objects,
+	clock: monotonicClock,
+	wallClock: () => 5000,
+	random: createRandom(1),
+	log: silentLogger,
+	signal,
+});
+
+test('one of two processes removes what has expired', async () => {
+	const platform = createMemoryPlatform();
+	for (const claimedAt of [0, 4500]) {
+		const value = serializeOrderRow({
+			state: 'released', token: 't', fingerprint: 'f', attempt: 1, claimedAt, reason: 'refused',
+		});
+		platform.state.transact({checks: [], writes: [{key: `orders/s/${claimedAt}`, value}]});
+	}
+
+	const end = new AbortController();
+	const running = [start(platform, 'a', end.signal), start(platform, 'b', end.signal)];
+	while (platform.state.read('orders/s/0') !== undefined) {
+		await turn(); // eslint-disable-line no-await-in-loop -- waits on the condition
+	}
+
+	end.abort();
+	await Promise.all(running);
+	expect(platform.state.read('orders/s/4500')).toBeDefined();
+});
--- a/packages/standins/src/upstreamStandin.ts
+++ b/packages/standins/src/upstreamStandin.ts
@@ -19,6 +19,7 @@
 import {noUpstreamFaults, type UpstreamFaults} from './upstreamFaults.js';
 import type {UpstreamLedger} from './upstreamLedger.js';
 import {createLoadReporter} from './upstreamLoadReport.js';
+import {header, queryNumber, readBody} from './upstreamRequest.js';
 import {createUpstreamSlots, type SlotStatistics} from './upstreamSlots.js';
 
 /** How an endpoint behaves without faults. */
@@ -60,25 +61,6 @@
 /** Node's own limit is raised, since the entry keeps idle connections open for longer. */
 const keepAliveTimeoutMs = 30_000;
 
-const header = (request: IncomingMessage, name: string): string | undefined => {
-	const value = request.headers[name];
-	return Array.isArray(value) ? value[0] : value;
-};
-
-const queryNumber = (url: URL, name: string, fallback: number): number => {
-	const value = Number(url.searchParams.get(name) ?? Number.NaN);
-	return Number.isFinite(value) && value >= 0 ? value : fallback;
-};
-
-const readBody = async (request: IncomingMessage): Promise<number> => {
-	let bytes = 0;
-	for await (const chunk of request) {
-		bytes += (chunk as Uint8Array).length;
-	}
-
-	return bytes;
-};
-
 const listen = async (server: Server, host: string, port: number): Promise<number> => {
 	server.listen(port, host);
 	await once(server, 'listening');
