--- a/packages/membership/src/heartbeatComposer.ts
+++ b/packages/membership/src/heartbeatComposer.ts
@@ -38,6 +38,8 @@
 const beatsPerMessage = 8;
 const recordsPerMessage = 2;
 const beatsPerRecord = 3;
+/** One probe in so many carries the beat of another member. */
+const probesPerSample = 4;
 
 /**
  * Creates the composer.
@@ -51,6 +53,7 @@
 	const introducedTo = new Set<string>();
 	let introducedIncarnation = self.member().incarnation;
 	let sampleAt = 0;
+	let probes = 0;
 
 	const isIntroducedTo = (id: string | undefined): boolean => {
 		if (introducedIncarnation !== self.member().incarnation) {
@@ -73,6 +76,11 @@
 
 	/** The next member in turn, so that beats travel also without changes. */
 	const sampleFor = (receiver: string | undefined): MemberBeat[] => {
+		probes += 1;
+		if (probes % probesPerSample !== 0) {
+			return [];
+		}
+
 		const ids = [...table.known().keys()];
 		sampleAt = (sampleAt + 1) % Math.max(ids.length, 1);
 		const id = ids[sampleAt];
