--- a/packages/entry/src/entryRuntime.ts
+++ b/packages/entry/src/entryRuntime.ts
@@ -112,7 +112,8 @@
 		log: createLogger('routing'),
 		metrics,
 		self: {id, region, availabilityZone},
-		chooseZone: service => steering.chooseZone(service, 'interactive'),
+		chooseZone: (service, requestClass) => steering.chooseZone(service, requestClass),
+		fetchReport: upstreams.fetchReport,
 	});
 
 	const readiness = (): Readiness => {
@@ -131,6 +132,7 @@
 		explain: query => explainRequest({
 			entry: id, configuration: () => follower.current(), lookup, steering, routerState: () => router.state(),
 		}, query),
+		takeOffer: ({head, parts}) => follower.offer(head, parts),
 	});
 
 	metrics.observeGauge('requests_in_flight', 'Requests at upstreams', () => router.load().inFlight);
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -8,8 +8,9 @@
 	type ChoiceOptions, type Need, createEndpointChoice, isLeaving,
 } from './endpointChoice.js';
 import {type EndpointTracker, type LeavingSignal, createEndpointTracker} from './endpointTracker.js';
-import type {Self} from './localityOrder.js';
+import type {Self, Tier} from './localityOrder.js';
 import type {EjectionReason, HealthState} from './outlierDetection.js';
+import {type MeanUse, createMeanUse} from './reportedLoad.js';
 import {type SharingEntry, divideSlots} from './slotOwnership.js';
 
 /** What the pool is made from. */
@@ -19,6 +20,8 @@
 	readonly regionOf: (zone: string) => string | undefined;
 	/** Endpoints that the operators are draining. */
 	readonly drained: ReadonlySet<string>;
+	/** Availability zones that are being drained, at once or step by step. */
+	readonly draining: ReadonlySet<string>;
 };
 
 /** Endpoints of one service. */
@@ -27,13 +30,19 @@
 	readonly trackers: () => readonly EndpointTracker[];
 	readonly find: (endpointId: string) => EndpointTracker | undefined;
 	readonly choose: (need: Need) => EndpointTracker | undefined;
+	/** Finds an ejected endpoint that is due for a probe, among those of a request's tiers. */
+	readonly chooseProbe: (tiers: readonly Tier[]) => EndpointTracker | undefined;
 	readonly setLeaving: (signal: LeavingSignal, isLeaving: (endpointId: string) => boolean) => void;
+	/** Slots of healthy endpoints that this entry owns. */
+	readonly ownedSlots: () => number;
+	/** Mean use of the endpoints by their reports. */
+	readonly meanUse: MeanUse;
 	/** Whether any endpoint takes new work. */
 	readonly hasUsable: () => boolean;
 };
 
 /** Parameters of a pool. */
-export type PoolOptions = ChoiceOptions & {
+export type PoolOptions = Omit<ChoiceOptions, 'isTooFull'> & {
 	readonly clock: Clock;
 	readonly self: Self;
 	readonly onHealthChange: (endpointId: string, state: HealthState, reason: EjectionReason | undefined) => void;
@@ -47,7 +56,8 @@
  */
 export const createEndpointPool = (options: PoolOptions): EndpointPool => {
 	const {clock, self, division, onHealthChange} = options;
-	const choose = createEndpointChoice(options);
+	const meanUse = createMeanUse();
+	const choose = createEndpointChoice({...options, isTooFull: meanUse.isTooFull});
 	let byId: ReadonlyMap<string, EndpointTracker> = new Map();
 	let trackers: readonly EndpointTracker[] = [];
 
@@ -62,6 +72,7 @@
 			endpoint,
 			region: regionOf(endpoint.availabilityZone) ?? '',
 			isNew: byId.size > 0,
+			meanUse,
 			onHealthChange(state, reason) {
 				onHealthChange(endpoint.id, state, reason);
 			},
@@ -90,11 +101,20 @@
 		trackers: () => trackers,
 		find: endpointId => byId.get(endpointId),
 		choose: need => choose(need, trackers),
+		chooseProbe(tiers) {
+			const due = tiers
+				.flatMap(tier => tier.trackers)
+				.find(tracker => tracker.health.probeIsDue() && tracker.inFlight() === 0 && !isLeaving(tracker));
+			due?.health.recordProbe();
+			return due;
+		},
 		setLeaving(signal, isLeavingNow) {
 			for (const tracker of trackers) {
 				tracker.setLeaving(signal, isLeavingNow(tracker.endpoint.id));
 			}
 		},
+		ownedSlots: () => trackers.reduce((total, tracker) => total + (tracker.health.state() === 'healthy' ? tracker.owned().slots : 0), 0),
+		meanUse,
 		hasUsable: () => trackers.some(tracker => !isLeaving(tracker)),
 	};
 };
