--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -257,7 +257,7 @@
 				onAttempt,
 				acquire: async excluded => acquire(request, {...needBase, excluded: unlessAll(excluded, tiers), otherThanZone: undefined}, duration, lane),
 				tryAcquireElsewhere(first) {
-					const leased = queue.size() > 0
+					const leased = queue.size() > 0 && pool.meanUse.isTooFull(false)
 						? undefined
 						: tryLease({
 							...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
