--- a/packages/routing/src/endpointTracker.ts
+++ b/packages/routing/src/endpointTracker.ts
@@ -124,7 +124,7 @@
 		slots,
 		observeReport(report, atMs, isOnAnswer) {
 			load.observe(report, atMs, flights.size - (isOnAnswer ? 1 : 0));
-			if (!isOnAnswer) {
+			if (!isOnAnswer && health.state() === 'healthy') {
 				meanUse.record(report.inUse + report.queued, report.slots);
 			}
 
--- a/packages/routing/src/reportedLoad.ts
+++ b/packages/routing/src/reportedLoad.ts
@@ -5,7 +5,7 @@
  * report and under heavy load it does not. Our own requests in flight are known exactly and are
  * never taken from a report.
  *
- * The mean use is taken only from reports that were asked for. Those on answers are drawn at
+ * The mean use is taken only from reports that were asked for, of healthy endpoints. Those on answers are drawn at
  * the moments at which a slot has just come free: they show room even where all is full.
  */
 import type {LoadReport} from '@filbertwell/types/loadReport';
