Hedge in regions whose own times are not yet known

Cause: an entry that rarely borrows in a region knew no median there and never hedged, so a slow endpoint there kept more than one request in a hundred.

--- a/packages/routing/src/__tests__/createRouter.test.ts
+++ b/packages/routing/src/__tests__/createRouter.test.ts
@@ -309,3 +309,24 @@
 		expect(router.load()).toStrictEqual({inFlight: 0, queued: 0});
 	}), {seed: 7, numRuns: 40});
 });
+
+test('a request is hedged in a region whose own times are not yet known', async () => {
+	const {ask, learn, sent, timers} = createTestRouter([
+		endpoint('a', {slots: 1}),
+		endpoint('s', {availabilityZone: 's1', slots: 4}),
+		endpoint('b', {availabilityZone: 'n2', slots: 1}),
+	]);
+	await learn(60, 100);
+	const near = [ask(), ask()];
+	await timers.settle();
+	void ask();
+	await timers.settle();
+	expect(sent.map(attempt => attempt.endpoint).toSorted()).toStrictEqual(['a', 'b', 's']);
+	for (const attempt of sent.filter(({endpoint: id}) => id !== 's')) {
+		attempt.answer();
+	}
+
+	await Promise.all(near);
+	await timers.advance(450);
+	expect(sent.at(-1)!.attempt.cause).toBe('hedge');
+});
--- a/packages/routing/src/durationEstimate.ts
+++ b/packages/routing/src/durationEstimate.ts
@@ -20,6 +20,8 @@
 export type RouteDuration = {
 	/** Time to first byte by region of the endpoint, since the way there is part of it. */
 	readonly firstByte: (region: string) => FirstByteTime;
+	/** Time to first byte of a region, or of all regions together while that one is unknown. */
+	readonly firstByteOrAny: (region: string) => FirstByteTime;
 	/** Mean time for which a slot is held. */
 	readonly meanHeldMs: () => number;
 	readonly recordHeld: (milliseconds: number) => void;
@@ -90,18 +92,34 @@
 
 	const createRecord = (): RouteRecord => {
 		const firstByteTimes = new Map<string, FirstByteTime>();
+		const anyRegion = createFirstByteTime();
+		const createCounted = (): FirstByteTime => {
+			const time = createFirstByteTime();
+			return {
+				...time,
+				record(milliseconds) {
+					time.record(milliseconds);
+					anyRegion.record(milliseconds);
+				},
+			};
+		};
+
 		let meanHeldMs: number | undefined;
 		const record: RouteRecord = {
 			arrivals: 0,
 			firstByte(region) {
 				let time = firstByteTimes.get(region);
 				if (time === undefined) {
-					time = createFirstByteTime();
+					time = createCounted();
 					firstByteTimes.set(region, time);
 				}
 
 				return time;
 			},
+			firstByteOrAny(region) {
+				const time = firstByteTimes.get(region);
+				return time?.medianMs() === undefined ? anyRegion : time;
+			},
 			meanHeldMs: () => meanHeldMs ?? defaultHeldMs,
 			recordHeld(milliseconds) {
 				meanHeldMs = meanHeldMs === undefined ? milliseconds : meanHeldMs + (meanWeight * (milliseconds - meanHeldMs));
--- a/packages/routing/src/requestRun.ts
+++ b/packages/routing/src/requestRun.ts
@@ -173,7 +173,7 @@
 			startProbe();
 			const {attempt, outcome, outcomes} = await awaitHedged({ // eslint-disable-line no-await-in-loop
 				primary,
-				delayMs: hedgeDelayMs(request, duration.firstByte(lease.tracker.region)),
+				delayMs: hedgeDelayMs(request, duration.firstByteOrAny(lease.tracker.region)),
 				schedule,
 				startSecond: () => startExtra('hedge', () => tryAcquireElsewhere(lease)),
 			});
