--- a/packages/routing/src/createRouter.ts
+++ b/packages/routing/src/createRouter.ts
@@ -8,14 +8,16 @@
 import type {Configuration} from '@filbertwell/types/configuration';
 import {type RequestClass, requestClasses} from '@filbertwell/types/intent';
 import type {LoadReport} from '@filbertwell/types/loadReport';
+import type {ZoneChoice} from '@filbertwell/types/zoneChoice';
 import type {Clock} from '@filbertwell/utils/clock';
 import type {Random} from '@filbertwell/utils/random';
 import type {Send} from './attempt.js';
-import {drainedEndpoints} from './drainedEndpoints.js';
+import {drainedEndpoints, drainingZones} from './drainedEndpoints.js';
 import type {SlotDivision} from './endpointChoice.js';
 import type {EndpointTracker} from './endpointTracker.js';
 import {createLinkCaps} from './linkCap.js';
 import type {Self} from './localityOrder.js';
+import type {FetchReport} from './roomSearch.js';
 import type {RoutedRequest, RouteOutcome} from './routedRequest.js';
 import {type Schedule, scheduleTimeout} from './scheduler.js';
 import {type ServiceRouter, createServiceRouter} from './serviceRouter.js';
@@ -31,8 +33,10 @@
 	readonly metrics: Pick<Metrics, 'increment'>;
 	/** This entry. */
 	readonly self: Self;
-	/** Zone of the next request by steering; `undefined` leaves the choice to locality. */
-	readonly chooseZone: (service: string) => string | undefined;
+	/** Where steering sends the next request of a class. */
+	readonly chooseZone: (service: string, requestClass: RequestClass) => ZoneChoice;
+	/** Asks an endpoint for its load; without it only reports on answers and by `observeReport` are known. */
+	readonly fetchReport?: FetchReport;
 	/** Timers; those of the process by default. */
 	readonly schedule?: Schedule;
 	/** How slots are divided between entries; `borrowed` by default. */
@@ -67,7 +71,7 @@
  * @returns The router.
  */
 export const createRouter = (options: RouterOptions): Router => {
-	const {clock, random, log, metrics, self, chooseZone, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
+	const {clock, random, log, metrics, self, chooseZone, fetchReport = async () => undefined, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
 	const linkCaps = createLinkCaps(clock, self.region);
 	const services = new Map<string, ServiceRouter>();
 	let weights: ReadonlyMap<string, number> = new Map();
@@ -84,7 +88,8 @@
 		self,
 		linkCaps,
 		division: slotDivision,
-		chooseZone: () => chooseZone(service),
+		fetchReport,
+		chooseZone: requestClass => chooseZone(service, requestClass),
 		weightOf: tenant => weights.get(tenant) ?? defaultWeight,
 		onAttempt(cause) {
 			metrics.increment('attempts_total', {service, cause});
@@ -98,13 +103,14 @@
 	const configureServices = ({intent}: Configuration) => {
 		const regions = new Map(intent.regions.flatMap(({name, availabilityZones}) => availabilityZones.map(zone => [zone, name] as const)));
 		const drained = drainedEndpoints(intent);
+		const draining = drainingZones(intent);
 		weights = new Map(intent.tenants.map(({name, weight}) => [name, weight]));
 		linkCaps.configure(intent.linkCaps, region => entries.filter(entry => entry.region === region).length);
 		for (const service of intent.services) {
 			const router = services.get(service.name) ?? createService(service.name);
 			services.set(service.name, router);
 			router.configure({
-				service, entries, drained, regionOf: zone => regions.get(zone),
+				service, entries, drained, draining, regionOf: zone => regions.get(zone),
 			});
 			router.setListedLeaving(isListedLeaving);
 		}
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -3,17 +3,20 @@
  */
 import type {Clock} from '@filbertwell/utils/clock';
 import type {RequestClass} from '@filbertwell/types/intent';
+import type {ZoneChoice} from '@filbertwell/types/zoneChoice';
 import {canMeetDeadline} from './admission.js';
 import type {AttemptCause, Send} from './attempt.js';
 import {createAttemptBudget, hedgeShare, retryShare} from './attemptBudget.js';
 import {type Waiter, createClassQueue} from './classQueue.js';
 import {type RouteDuration, createServiceDurations} from './durationEstimate.js';
-import type {Need} from './endpointChoice.js';
+import {type Need, isLeaving} from './endpointChoice.js';
 import {type PoolLayout, type PoolOptions, createEndpointPool} from './endpointPool.js';
 import type {EndpointTracker} from './endpointTracker.js';
 import {type Tier, localityOrder} from './localityOrder.js';
 import {type Refusal, runRequest} from './requestRun.js';
+import {type FetchReport, createRoomSearch} from './roomSearch.js';
 import type {RefusalReason, RoutedRequest, RouteOutcome} from './routedRequest.js';
+import {createTenantShares} from './tenantShares.js';
 import type {Lease} from './runningAttempt.js';
 import type {Schedule} from './scheduler.js';
 
@@ -32,14 +35,18 @@
 /** Parameters of a service's router. */
 export type ServiceRouterOptions = PoolOptions & {
 	readonly schedule: Schedule;
-	readonly chooseZone: () => string | undefined;
+	readonly chooseZone: (requestClass: RequestClass) => ZoneChoice;
 	readonly weightOf: (tenant: string) => number;
 	readonly onAttempt: (cause: AttemptCause) => void;
+	readonly fetchReport: FetchReport;
 };
 
 /** Room that other entries leave shows only in reports, so a waiting queue looks again. */
 const lookAgainMs = 10;
 
+const slotsLeftToOthers = 1;
+const useWithoutContention = 0.6;
+
 const refusal = (reason: RefusalReason, detail: string): Refusal => ({kind: 'refused', reason, detail});
 
 /**
@@ -49,31 +56,39 @@
  * @returns The router, which refuses all requests before `configure`.
  */
 export const createServiceRouter = (options: ServiceRouterOptions): ServiceRouter => {
-	const {clock, schedule, self, linkCaps, chooseZone, weightOf, onAttempt} = options;
+	const {clock, schedule, self, linkCaps, chooseZone, weightOf, onAttempt, fetchReport, random} = options;
 	const pool = createEndpointPool(options);
 	const durations = createServiceDurations();
 	const queue = createClassQueue(weightOf);
+	const shares = createTenantShares(clock, weightOf);
 	const retryBudget = createAttemptBudget(retryShare);
 	const hedgeBudget = createAttemptBudget(hedgeShare);
+	const roomSearch = createRoomSearch({
+		clock, random, fetchReport, meanUse: pool.meanUse, onReports: queue.startReady,
+	});
 	const tiersByZone = new Map<string, readonly Tier[]>();
 	let inFlight = 0;
 	let longInFlight = 0;
 	let isLookingAgain = false;
+	let draining: ReadonlySet<string> = new Set();
 
 	const tiersFor = (zone: string | undefined): readonly Tier[] => {
 		const key = zone ?? '';
 		const known = tiersByZone.get(key);
-		const tiers = known ?? localityOrder(pool.trackers(), self, zone);
+		const tiers = known ?? localityOrder({
+			trackers: pool.trackers(), self, chosenZone: zone, draining,
+		});
 		tiersByZone.set(key, tiers);
 		return tiers;
 	};
 
-	const lease = (tracker: EndpointTracker, duration: RouteDuration): Lease => {
+	const lease = (tracker: EndpointTracker, duration: RouteDuration, tenant: string): Lease => {
 		const isLong = duration.isLong();
 		const flight = {
 			startedAtMs: clock(), expectedMs: duration.firstByte(tracker.region).medianMs(), isLong, hasAnswer: false,
 		};
 		tracker.start(flight);
+		shares.start(tenant);
 		inFlight += 1;
 		longInFlight += isLong ? 1 : 0;
 		let isReleased = false;
@@ -84,7 +99,9 @@
 				if (!isReleased) {
 					isReleased = true;
 					tracker.end(flight);
+					shares.end(tenant);
 					inFlight -= 1;
+					pool.meanUse.recordHeld(clock() - flight.startedAtMs);
 					longInFlight -= isLong ? 1 : 0;
 					queue.startReady();
 				}
@@ -92,17 +109,32 @@
 		};
 	};
 
-	const tryLease = (need: Need, duration: RouteDuration): Lease | undefined => {
-		const tracker = pool.choose(need);
-		return tracker === undefined ? undefined : lease(tracker, duration);
+	/** Whether a tenant that uses more than its share must leave the last slot to others. */
+	const mustLeaveLast = (tenant: string): boolean => {
+		const slots = pool.ownedSlots();
+		return inFlight >= slots - slotsLeftToOthers && pool.meanUse.value() > useWithoutContention && shares.isOverShare(tenant, slots);
+	};
+
+	const tryLease = (need: Need, duration: RouteDuration, tenant: string): Lease | undefined => {
+		const tracker = mustLeaveLast(tenant) ? undefined : pool.choose(need);
+		return tracker === undefined ? undefined : lease(tracker, duration, tenant);
 	};
 
 	const lookAgain = () => {
 		isLookingAgain = false;
 		queue.startReady();
+		if (queue.size() > 0) {
+			searchRoom(undefined);
+		}
+
 		lookAgainLater();
 	};
 
+	const searchRoom = (zone: string | undefined) => {
+		const near = tiersFor(zone).flatMap(tier => tier.trackers);
+		roomSearch.search(near.filter(tracker => tracker.inFlight() < tracker.slots() && !isLeaving(tracker) && tracker.health.state() === 'healthy'));
+	};
+
 	const lookAgainLater = () => {
 		if (!isLookingAgain && queue.size() > 0) {
 			isLookingAgain = true;
@@ -125,7 +157,7 @@
 				requestClass: request.route.requestClass,
 				lane,
 				tryStart() {
-					const started = tryLease(need, duration);
+					const started = tryLease(need, duration, request.tenant);
 					if (started !== undefined) {
 						finish(started);
 					}
@@ -150,6 +182,7 @@
 				finish(refusal('queueFull', 'too many requests wait for this service'));
 			}
 
+			searchRoom(undefined);
 			lookAgainLater();
 		});
 	};
@@ -167,7 +200,7 @@
 			return refusal('noEndpoint', 'no endpoint of the service takes new work');
 		}
 
-		const leased = aheadMs === 0 ? tryLease(need, duration) : undefined;
+		const leased = aheadMs === 0 ? tryLease(need, duration, request.tenant) : undefined;
 		if (leased !== undefined) {
 			return leased;
 		}
@@ -180,6 +213,10 @@
 			: refusal('deadlineTooShort', 'the wait for an endpoint would pass the deadline');
 	};
 
+	/** Endpoints that have failed a request serve it again where there are no others. */
+	const unlessAll = (excluded: readonly EndpointTracker[], tiers: readonly Tier[]): readonly EndpointTracker[] =>
+		tiers.some(tier => tier.trackers.some(tracker => !excluded.includes(tracker) && !isLeaving(tracker))) ? excluded : [];
+
 	const otherZone = ({tracker}: Lease, tiers: readonly Tier[]): string | undefined => {
 		const zone = tracker.endpoint.availabilityZone;
 		return tiers.some(tier => tier.trackers.some(({endpoint}) => endpoint.availabilityZone !== zone)) ? zone : undefined;
@@ -188,17 +225,25 @@
 	return {
 		configure(layout) {
 			pool.configure(layout);
+			draining = layout.draining;
 			tiersByZone.clear();
 			queue.startReady();
 		},
 		async route(request, send) {
 			const duration = durations.ofRoute(request.route.name);
-			const zone = chooseZone();
-			const tiers = tiersFor(zone);
+			const choice = chooseZone(request.route.requestClass);
+			if (choice.kind === 'refused') {
+				return {
+					kind: 'not-run', reason: 'noCapacity', detail: 'no availability zone may take more of the service under the shift caps', attempts: 0,
+				};
+			}
+
+			const tiers = tiersFor(choice.kind === 'zone' ? choice.availabilityZone : undefined);
 			const isLong = duration.isLong();
 			const lane = `${tiers[0]?.trackers[0]?.region ?? ''}/${isLong ? 'long' : 'short'}`;
 			const needBase = {tiers, isLong, mayProbe: request.route.kind === 'idempotent'};
 			duration.recordArrival();
+			shares.recordArrival(request.tenant);
 			retryBudget.recordRequest();
 			hedgeBudget.recordRequest();
 			return runRequest({
@@ -210,12 +255,23 @@
 				retryBudget,
 				hedgeBudget,
 				onAttempt,
-				acquire: async excluded => acquire(request, {...needBase, excluded, otherThanZone: undefined}, duration, lane),
-				tryAcquireElsewhere: first => queue.size() > 0
-					? undefined
-					: tryLease({
-						...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
-					}, duration),
+				acquire: async excluded => acquire(request, {...needBase, excluded: unlessAll(excluded, tiers), otherThanZone: undefined}, duration, lane),
+				tryAcquireElsewhere(first) {
+					const leased = queue.size() > 0
+						? undefined
+						: tryLease({
+							...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
+						}, duration, request.tenant);
+					if (leased === undefined) {
+						searchRoom(zone);
+					}
+
+					return leased;
+				},
+				tryAcquireProbe() {
+					const tracker = pool.chooseProbe(tiers);
+					return tracker === undefined ? undefined : lease(tracker, duration, request.tenant);
+				},
 				countBytes(tracker, sent, received) {
 					if (tracker.region !== self.region) {
 						linkCaps.count(tracker.region, sent, received);
