--- a/packages/lookup/src/lookupRuntime.ts
+++ b/packages/lookup/src/lookupRuntime.ts
@@ -78,6 +78,7 @@
 		state: () => stateOf(control),
 		exposition: async () => metrics.exposition(),
 		explain: () => err('a look-up process carries no requests; ask an entry'),
+		takeOffer: ({head, parts}) => follower.offer(head, parts),
 	});
 	metrics.observeGauge('configuration_version', 'Version of the configuration in force', () => follower.current()?.version ?? 0);
 	metrics.observeGauge('members', 'Members that are not known to be gone', () => membership.members().length);
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -263,7 +263,7 @@
 							...needBase, mayProbe: false, excluded: [first.tracker], otherThanZone: otherZone(first, tiers),
 						}, duration, request.tenant);
 					if (leased === undefined) {
-						searchRoom(zone);
+						searchRoom(choice.kind === 'zone' ? choice.availabilityZone : undefined);
 					}
 
 					return leased;
