Steering: after a long pause an entry goes on from its peers' splits

Cause: callers of a paused entry go to its peers, whose splits move on. Resumed with its old split, the entry moved them back at once, by up to the cap times the pause. Change: steps report the time they did not make up for; over 2 s the entry asks its peers again, as a starting entry does.

--- a/packages/entry/src/entryRuntime.ts
+++ b/packages/entry/src/entryRuntime.ts
@@ -40,6 +40,8 @@
 const conditionIntervalMs = 1000;
 const millisecondsPerSecond = 1000;
 const noJitter = 0;
+/** Pause after which callers have given this entry up and use its peers. */
+const adoptAfterPauseMs = 2000;
 
 const isSharingEntry = (member: Member): boolean => member.role === 'entry' && member.state === 'serving';
 
@@ -169,6 +171,18 @@
 		channel.handle('steering.splits', () => ({configurationVersion: follower.current()?.version ?? 0, splits: steering.splits()}));
 	};
 
+	const moveSplits = async () => {
+		if (steering.step() < adoptAfterPauseMs) {
+			return;
+		}
+
+		const peerSplits = await fetchStartingSplits({
+			membership, channel, clock, signal,
+		});
+		steering.adopt(peerSplits);
+		log(steeringEvents.startedFromPeers, {services: peerSplits.length});
+	};
+
 	const reportLoad = () => {
 		rate.endPeriod(conditionIntervalMs);
 		membership.announceLoad({...router.load(), requestsPerSecond: rate.perSecond()});
@@ -176,15 +190,13 @@
 	};
 
 	const startPeriodicWork = () => {
-		const everyInterval = (intervalMs: number, task: () => void) => {
+		const everyInterval = (intervalMs: number, task: () => void | Promise<void>) => {
 			void runPeriodically({
 				intervalMs, jitter: noJitter, random, signal, task,
 			});
 		};
 
-		everyInterval(steeringIntervalMs, () => {
-			steering.step();
-		});
+		everyInterval(steeringIntervalMs, moveSplits);
 		everyInterval(conditionIntervalMs, reportLoad);
 		void pollReports({
 			clock, random, router, fetchReport: upstreams.fetchReport, signal,
--- a/packages/steering/src/createSteering.ts
+++ b/packages/steering/src/createSteering.ts
@@ -36,8 +36,17 @@
 export type DrivenSteering = Steering & {
 	/** Puts a configuration in force. */
 	readonly configure: (configuration: Configuration) => void;
-	/** Moves the splits by the time since the last step; called about every 250 ms. */
-	readonly step: () => void;
+	/**
+	 * Moves the splits by the time since the last step; called about every 250 ms.
+	 *
+	 * @returns Time that the step did not make up for, in milliseconds: that of a pause of the process.
+	 */
+	readonly step: () => number;
+	/**
+	 * Goes on from peers' splits, as a starting entry does. For an entry that was paused for so
+	 * long that its callers went to its peers: with its old split it would move them back.
+	 */
+	readonly adopt: (peerSplits: readonly RegionalSplit[]) => void;
 };
 
 type ServiceSteering = {
@@ -110,7 +119,8 @@
 		},
 		step() {
 			const now = clock();
-			const elapsedMs = Math.min(maximumStepMs, now - steppedAt);
+			const passedMs = now - steppedAt;
+			const elapsedMs = Math.min(maximumStepMs, passedMs);
 			steppedAt = now;
 			demand.observe(members());
 			const currentDemands = demands();
@@ -119,6 +129,13 @@
 				splits.step(elapsedMs, currentDemands);
 				logHold(name, before, splits.ofRegion(region));
 			}
+
+			return passedMs - elapsedMs;
+		},
+		adopt(newSplits) {
+			for (const [name, {splits}] of services) {
+				splits.adopt(newSplits.filter(split => split.service === name));
+			}
 		},
 		chooseZone(service, requestClass) {
 			const state = services.get(service);
--- a/packages/steering/src/serviceSplits.ts
+++ b/packages/steering/src/serviceSplits.ts
@@ -28,6 +28,8 @@
 	readonly configure: (intent: Intent, service: Service, demands: readonly RegionDemand[]) => void;
 	/** Moves all splits by the time that has passed. */
 	readonly step: (elapsedMs: number, demands: readonly RegionDemand[]) => void;
+	/** Takes over splits of this service that a peer uses now. */
+	readonly adopt: (peerSplits: readonly RegionalSplit[]) => void;
 	readonly ofRegion: (region: RegionName) => MovingSplit | undefined;
 	readonly all: () => readonly RegionalSplit[];
 	readonly failedZones: () => ReadonlySet<AvailabilityZoneName>;
@@ -70,9 +72,9 @@
 	const holds = createZoneHolds();
 	let configured: {readonly intent: Intent; readonly service: Service} | undefined;
 
-	const startingShares = (region: RegionName, {regions}: Intent): readonly ZoneShare[] | undefined => {
+	const sharesOf = (peerSplits: readonly RegionalSplit[], region: RegionName, {regions}: Intent): readonly ZoneShare[] | undefined => {
 		const known = new Set(regions.flatMap(({availabilityZones}) => availabilityZones));
-		return startingSplits.find(split => split.region === region)?.shares.filter(share => known.has(share.availabilityZone));
+		return peerSplits.find(split => split.region === region)?.shares.filter(share => known.has(share.availabilityZone));
 	};
 
 	const targetOf = (region: RegionName, intent: Intent, service: Service, demands: readonly RegionDemand[]) => targetSplit({
@@ -100,7 +102,7 @@
 			const zones = immediatelyDrained(intent);
 			for (const {name} of intent.regions) {
 				const target = targetOf(name, intent, service, demands);
-				const shares = splits.get(name)?.shares ?? startingShares(name, intent) ?? target;
+				const shares = splits.get(name)?.shares ?? sharesOf(startingSplits, name, intent) ?? target;
 				splits.set(name, {
 					shares: leaveZones(shares, target, zones), target, remaining: 0, heldBy: 'none',
 				});
@@ -116,6 +118,11 @@
 				stepRegion(name, splits.get(name)!, targetOf(name, intent, service, demands), intent.shiftCaps, elapsedMs);
 			}
 		},
+		adopt(peerSplits) {
+			for (const [region, split] of splits) {
+				splits.set(region, {...split, shares: sharesOf(peerSplits, region, configured!.intent) ?? split.shares});
+			}
+		},
 		ofRegion: region => splits.get(region),
 		all: () => [...splits].map(([region, {shares}]) => ({region, service: configured!.service.name, shares})),
 		failedZones: holds.failed,
