--- a/packages/logger/src/events/steeringEvents.ts
+++ b/packages/logger/src/events/steeringEvents.ts
@@ -15,6 +15,6 @@
 		meaning: 'An availability zone has stopped or resumed answering for a service, as this entry sees it. Traffic leaves a failed zone under the failover cap.',
 	},
 	startedFromPeers: {
-		number: 5002, name: 'splitsFromPeers', level: 'info', meaning: 'The entry took its starting splits from a peer. No action.',
+		number: 5002, name: 'splitsFromPeers', level: 'info', meaning: 'The entry took its splits from a peer, at its start or after a long pause. No action.',
 	},
 });
