--- a/packages/entry/src/entryRuntime.ts
+++ b/packages/entry/src/entryRuntime.ts
@@ -115,6 +115,7 @@
 		metrics,
 		self: {id, region, availabilityZone},
 		chooseZone: (service, requestClass) => steering.chooseZone(service, requestClass),
+		fetchReport: upstreams.fetchReport,
 	});
 
 	const readiness = (): Readiness => {
