--- a/packages/measure/src/experiments/drain.ts
+++ b/packages/measure/src/experiments/drain.ts
@@ -2,6 +2,7 @@
  * Drains of an endpoint, an availability zone and an entry under load, by each signal there is.
  */
 import {setTimeout as delay} from 'node:timers/promises';
+import type {EntryProcess} from '@filbertwell/harness/entryProcess';
 import {readLedger} from '@filbertwell/harness/ledgers';
 import {startDeployment, type Deployment} from '@filbertwell/harness/startDeployment';
 import {deploymentShape} from '@filbertwell/harness/deploymentShape';
@@ -92,9 +93,13 @@
 	name: 'zone', signalledAtMs: await addDrain(deployment, 'availabilityZone', zone), holds: run => run.availabilityZone === zone,
 });
 
-const callerAddressOf = (deployment: Deployment, index: number): string => {
-	const {host, port} = deployment.entries()[index]!.placement.callers;
-	return `${host}:${port}`;
+const callerAddressOf = ({placement}: EntryProcess): string => `${placement.callers.host}:${placement.callers.port}`;
+
+/** The entry that gets the most requests, so that its drain shows something. */
+const busiestEntry = async (deployment: Deployment, except: readonly EntryProcess[]): Promise<EntryProcess> => {
+	const candidates = deployment.entries().filter(entry => !except.includes(entry));
+	const rates = await Promise.all(candidates.map(async entry => (await entry.state())?.self.load.requestsPerSecond ?? 0));
+	return candidates[rates.indexOf(Math.max(...rates))]!;
 };
 
 const placeFigures = ({name, signalledAtMs, holds}: DrainedPlace, runs: readonly PlacedRun[]): Figures => {
@@ -122,7 +127,7 @@
 const measureKill = async (deployment: Deployment, seed: number): Promise<Figures> => {
 	const loading = startLoad(deployment, baselineMs, seed);
 	await delay(baselineMs / 2);
-	deployment.entries()[0]!.process.signal('SIGKILL');
+	(await busiestEntry(deployment, [])).process.signal('SIGKILL');
 	const {records} = await loading;
 	const broken = records.flatMap(({attempts}) => attempts).filter(({outcome}) => outcome === 'lost' || outcome === 'cut-off');
 	const refused = records.flatMap(({attempts}) => attempts).filter(({outcome}) => outcome === 'unreachable');
@@ -133,18 +138,18 @@
 	const loadStartedAtMs = monotonicClock();
 	const loading = startLoad(deployment, loadMs, seed);
 	await delay(firstSignalsMs);
-	const drainedEntry = callerAddressOf(deployment, 2);
-	const {id: drainedId} = deployment.entries()[2]!.placement;
+	const drained = await busiestEntry(deployment, []);
 	const places = [
 		await drainByConfiguration(deployment, 'inventory-01'),
 		await drainByReport(deployment, 'inventory-02'),
 		await drainByList(deployment, 'catalogue-03'),
 	];
-	const byIntent: DrainedEntry = {name: 'entryDrain', address: drainedEntry, signalledAtMs: await addDrain(deployment, 'entry', drainedId)};
+	const byIntent: DrainedEntry = {name: 'entryDrain', address: callerAddressOf(drained), signalledAtMs: await addDrain(deployment, 'entry', drained.placement.id)};
 	await delay(secondSignalsMs);
 	places.push(await drainZone(deployment, 'northeast-b'));
-	const stoppedEntry: DrainedEntry = {name: 'entryStop', address: callerAddressOf(deployment, 1), signalledAtMs: monotonicClock()};
-	await deployment.stopEntry(deployment.entries()[1]!.placement.id, entryGraceMs);
+	const stopped = await busiestEntry(deployment, [drained]);
+	const stoppedEntry: DrainedEntry = {name: 'entryStop', address: callerAddressOf(stopped), signalledAtMs: monotonicClock()};
+	await deployment.stopEntry(stopped.placement.id, entryGraceMs);
 	const entryStopSeconds = (monotonicClock() - stoppedEntry.signalledAtMs) / millisecondsPerSecond;
 	const result = await loading;
 	const runs = await readRuns(deployment);
