--- a/packages/measure/src/experiments/drain.ts
+++ b/packages/measure/src/experiments/drain.ts
@@ -98,7 +98,10 @@
 /** The entry that gets the most requests, so that its drain shows something. */
 const busiestEntry = async (deployment: Deployment, except: readonly EntryProcess[]): Promise<EntryProcess> => {
 	const candidates = deployment.entries().filter(entry => !except.includes(entry));
-	const rates = await Promise.all(candidates.map(async entry => (await entry.state())?.self.load.requestsPerSecond ?? 0));
+	const rates = await Promise.all(candidates.map(async entry => {
+		const state = await entry.state();
+		return state?.self.load.requestsPerSecond ?? 0;
+	}));
 	return candidates[rates.indexOf(Math.max(...rates))]!;
 };
 
@@ -127,7 +130,8 @@
 const measureKill = async (deployment: Deployment, seed: number): Promise<Figures> => {
 	const loading = startLoad(deployment, baselineMs, seed);
 	await delay(baselineMs / 2);
-	(await busiestEntry(deployment, [])).process.signal('SIGKILL');
+	const killed = await busiestEntry(deployment, []);
+	killed.process.signal('SIGKILL');
 	const {records} = await loading;
 	const broken = records.flatMap(({attempts}) => attempts).filter(({outcome}) => outcome === 'lost' || outcome === 'cut-off');
 	const refused = records.flatMap(({attempts}) => attempts).filter(({outcome}) => outcome === 'unreachable');
--- a/packages/measure/src/groupedLoad.ts
+++ b/packages/measure/src/groupedLoad.ts
@@ -41,7 +41,7 @@
 		durationMs,
 		callerAddress: caller => `127.${group.blocks[caller % group.blocks.length]!}.${caller}.1`,
 		seed: (seed * groups.length) + index,
-	}, {idPrefix: `${name}/${group.name}/`})));
+	}, {idPrefix: `${name}.${group.name}.`})));
 
 /**
  * Picks the runs of one load and tells their groups.
@@ -51,5 +51,5 @@
  * @returns Its runs with their groups.
  */
 export const groupedRuns = (runs: readonly PlacedRun[], name: string): readonly GroupedRun[] => runs
-	.filter(({requestId}) => requestId.startsWith(`${name}/`))
-	.map(({requestId, region, startedAtMs}) => ({group: requestId.split('/')[1]!, region, startedAtMs}));
+	.filter(({requestId}) => requestId.startsWith(`${name}.`))
+	.map(({requestId, region, startedAtMs}) => ({group: requestId.split('.')[1]!, region, startedAtMs}));
