Routing: the more-than-half rule counts the endpoints that a request may use

Cause: steering keeps a request in one region, while the rule counted all of the service. With all of a region's endpoints ejected as slow, but fewer than half of the service's, its requests found none. Change: counted among the endpoints of the request's tiers. The new test fails without it.

--- a/packages/routing/src/__tests__/createRouter.test.ts
+++ b/packages/routing/src/__tests__/createRouter.test.ts
@@ -309,3 +309,25 @@
 		expect(router.load()).toStrictEqual({inFlight: 0, queued: 0});
 	}), {seed: 7, numRuns: 40});
 });
+
+test('where most endpoints of the chosen region look bad, none of them is left out', async () => {
+	const far = ['c', 'd', 'e'].map(id => endpoint(id, {availabilityZone: 's1'}));
+	const {ask, sent, timers, router} = createTestRouter([endpoint('a'), endpoint('b'), ...far], {
+		chooseZone: () => ({kind: 'zone', availabilityZone: 'n1'}),
+	});
+	for (let index = 0; index < 30; index += 1) {
+		void ask({route: order, deadlineAtMs: timers.now() + 1000});
+		await timers.settle(); // eslint-disable-line no-await-in-loop
+		for (const attempt of sent.splice(0)) {
+			attempt.settle({kind: 'failed', reason: 'reset'});
+		}
+
+		await timers.settle(); // eslint-disable-line no-await-in-loop
+	}
+
+	const ejected = router.state()[0]!.endpoints.filter(({health}) => health === 'ejected').map(({id}) => id);
+	expect(ejected).toEqual(['a', 'b']);
+	void ask({route: order});
+	await timers.settle();
+	expect(sent).toHaveLength(1);
+});
--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -9,8 +9,8 @@
  * between two requests of its owner. Long requests stop borrowing much earlier, since they keep
  * the slot for many times longer than a report is true, and short ones would wait behind them.
  *
- * Left out are endpoints that are leaving, ejected ones (unless more than half of the service's
- * endpoints are: then the fault is likely not theirs, and none is left out), and, while there
+ * Left out are endpoints that are leaving, ejected ones (unless more than half of those that
+ * the request may use are: then the fault is likely not theirs, and none is left out), and, while there
  * is another, those whose oldest request has been waiting for several times its usual time.
  */
 import type {Random} from '@filbertwell/utils/random';
@@ -34,7 +34,7 @@
 };
 
 /** Choice of an endpoint. */
-export type EndpointChoice = (need: Need, all: readonly EndpointTracker[]) => EndpointTracker | undefined;
+export type EndpointChoice = (need: Need) => EndpointTracker | undefined;
 
 /** Parameters of the choice. */
 export type ChoiceOptions = {
@@ -113,7 +113,9 @@
 		return due;
 	};
 
-	return (need, all) => {
+	return need => {
+		// Counted among those that the request may use: a request that steering keeps in one region finds no others.
+		const all = need.tiers.flatMap(({trackers}) => trackers);
 		const ejected = all.filter(({health}) => health.state() === 'ejected').length;
 		const excludesEjected = ejected <= all.length / 2;
 		const mayTake = (tracker: EndpointTracker) => !isLeaving(tracker) && !need.excluded.includes(tracker);
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -100,7 +100,7 @@
 		},
 		trackers: () => trackers,
 		find: endpointId => byId.get(endpointId),
-		choose: need => choose(need, trackers),
+		choose,
 		chooseProbe(tiers) {
 			const due = tiers
 				.flatMap(tier => tier.trackers)
