--- a/packages/measure/src/experiments/shiftHeadroom.ts
+++ b/packages/measure/src/experiments/shiftHeadroom.ts
@@ -4,22 +4,22 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {startDeployment, type Deployment} from '@filbertwell/harness/startDeployment';
 import type {RouteLoad} from '@filbertwell/load/loadPlan';
-import type {Intent} from '@filbertwell/types/intent';
+import type {Drain, Intent} from '@filbertwell/types/intent';
 import type {ShiftHold} from '@filbertwell/types/split';
 import {monotonicClock} from '@filbertwell/utils/clock';
 import type {Experiment, Figures} from '../experiment.js';
 import {groupedRuns, runGroupedLoad} from '../groupedLoad.js';
 import type {GroupedRun} from '../movedShare.js';
 import {largestOverSlots, zonesOf} from '../slotUse.js';
-import {readRuns, resetStatistics, setFaults} from '../upstreamRuns.js';
+import {readRuns, resetStatistics} from '../upstreamRuns.js';
 
 const service = 'inventory';
 const destination = 'southeast';
 const wantedShare = 0.6;
 const medianServiceMs = 50;
 const serviceSigma = 0.3;
-/** Factor that leaves the destination too few slots for the wanted share. */
-const slowFactor = 2;
+/** Endpoints of the destination that are drained at first, which leaves it too few slots for the wanted share. */
+const closedEndpoints = ['inventory-03', 'inventory-04'];
 const requestsPerSecond = 270;
 const settleMs = 5000;
 const heldMs = 13_000;
@@ -27,6 +27,7 @@
 const shareMs = 2500;
 const sharePerMinute = 3;
 const overSlotsBound = 0.01;
+const inForceMs = 9000;
 const stateIntervalMs = 500;
 
 const routes: readonly RouteLoad[] = [{
@@ -62,20 +63,26 @@
 
 const measure = async (deployment: Deployment, seed: number): Promise<Figures> => {
 	const zones = zonesOf(deployment, region => region === destination);
-	await setFaults(deployment, zones, {slowFactor});
+	const open = deployment.intent();
+	const closed = {
+		...open, drains: closedEndpoints.map((name): Drain => ({
+			target: 'endpoint', name, pace: 'immediate', reason: 'measured',
+		})),
+	};
+	const shifts = [{service, region: destination, share: wantedShare}];
+	await deployment.waitInForce(await deployment.apply(closed), inForceMs);
 	const loading = runGroupedLoad(deployment, {
 		name: 'headroom', routes, requestsPerSecond, durationMs: settleMs + heldMs + resumedMs, seed,
 	});
 	await delay(settleMs);
-	const intent = deployment.intent();
 	const shiftedAtMs = monotonicClock();
-	await deployment.apply({...intent, shifts: [{service, region: destination, share: wantedShare}]});
+	await deployment.apply({...closed, shifts});
 	await resetStatistics(deployment);
 	await delay(heldMs / 2);
 	const heldByHeadroom = await watchHolds(deployment, heldMs / 2);
 	const overSlots = await largestOverSlots(deployment, service, zones);
 	const roomAtMs = monotonicClock();
-	await setFaults(deployment, zones, {slowFactor: 1});
+	await deployment.apply({...open, shifts});
 	const results = await loading;
 	const endedAtMs = monotonicClock();
 	const runs = groupedRuns(await readRuns(deployment), 'headroom');
@@ -94,9 +101,9 @@
 const baselineFigures = (deployment: Deployment): Figures => {
 	const zones = zonesOf(deployment, region => region === destination);
 	const slots = deployment.intent().services.find(({name}) => name === service)!.endpoints
-		.filter(({availabilityZone}) => zones.includes(availabilityZone))
+		.filter(({id, availabilityZone}) => zones.includes(availabilityZone) && !closedEndpoints.includes(id))
 		.reduce((sum, endpoint) => sum + endpoint.slots, 0);
-	return {wantedOverSlots: wantedShare * requestsPerSecond * medianServiceMs * slowFactor / 1000 / slots};
+	return {wantedOverSlots: wantedShare * requestsPerSecond * medianServiceMs / 1000 / slots};
 };
 
 const isKept = (value: Figures): boolean => value.overSlots! <= overSlotsBound
