--- a/packages/measure/src/experiments/regionLoss.ts
+++ b/packages/measure/src/experiments/regionLoss.ts
@@ -18,8 +18,7 @@
 
 const service = 'inventory';
 const lostRegion = 'northeast';
-const medianServiceMs = 80;
-const serviceSigma = 0.3;
+const meanServiceMs = 80;
 const requestsPerSecond = 450;
 const settleMs = 5000;
 const lossMs = 11_000;
@@ -133,7 +132,7 @@
 	const slots = deployment.intent().services.find(({name}) => name === service)!.endpoints
 		.filter(({availabilityZone}) => remaining.includes(availabilityZone))
 		.reduce((sum, endpoint) => sum + endpoint.slots, 0);
-	const offered = requestsPerSecond * medianServiceMs / 1000;
+	const offered = requestsPerSecond * meanServiceMs / 1000;
 	return {offeredOverRemainingSlots: offered / slots, refusedWithoutClasses: Math.max(0, 1 - (slots / offered))};
 };
 
@@ -153,7 +152,7 @@
 	name: 'region-loss',
 	description: 'all upstreams and entries of a region gone at once, and back',
 	async run({seed}) {
-		const deployment = await startDeployment({seed, adapt, serviceTimeMs: {kind: 'logNormal', medianMs: medianServiceMs, sigma: serviceSigma}});
+		const deployment = await startDeployment({seed, adapt, serviceTimeMs: {kind: 'exponential', meanMs: meanServiceMs}});
 		try {
 			const value = await measure(deployment, seed);
 			return {
--- a/packages/measure/src/experiments/shiftHeadroom.ts
+++ b/packages/measure/src/experiments/shiftHeadroom.ts
@@ -16,8 +16,7 @@
 const service = 'inventory';
 const destination = 'southeast';
 const wantedShare = 0.6;
-const medianServiceMs = 50;
-const serviceSigma = 0.3;
+const meanServiceMs = 50;
 /** Endpoints of the destination that are drained at first, which leaves it too few slots for the wanted share. */
 const closedEndpoints = ['inventory-03', 'inventory-04'];
 const requestsPerSecond = 270;
@@ -103,7 +102,7 @@
 	const slots = deployment.intent().services.find(({name}) => name === service)!.endpoints
 		.filter(({id, availabilityZone}) => zones.includes(availabilityZone) && !closedEndpoints.includes(id))
 		.reduce((sum, endpoint) => sum + endpoint.slots, 0);
-	return {wantedOverSlots: wantedShare * requestsPerSecond * medianServiceMs / 1000 / slots};
+	return {wantedOverSlots: wantedShare * requestsPerSecond * meanServiceMs / 1000 / slots};
 };
 
 const isKept = (value: Figures): boolean => value.overSlots! <= overSlotsBound
@@ -117,7 +116,7 @@
 	name: 'shift-headroom',
 	description: 'a shift to a region with too little room holds, then resumes',
 	async run({seed}) {
-		const deployment = await startDeployment({seed, adapt, serviceTimeMs: {kind: 'logNormal', medianMs: medianServiceMs, sigma: serviceSigma}});
+		const deployment = await startDeployment({seed, adapt, serviceTimeMs: {kind: 'exponential', meanMs: meanServiceMs}});
 		try {
 			const value = await measure(deployment, seed);
 			return {
