--- a/packages/measure/src/experiments/regionLoss.ts
+++ b/packages/measure/src/experiments/regionLoss.ts
@@ -25,7 +25,7 @@
 const recoveryMs = 12_000;
 /** After the loss, and after the return, until the figures count. */
 const adjustMs = 3000;
-const shareMs = 2000;
+const windowMs = 2000;
 const lookupLifetimeSeconds = 1;
 const plannedSharePerMinute = 3;
 const failoverSharePerMinute = 20;
@@ -60,16 +60,15 @@
 
 const classFigures = (records: readonly RequestRecord[]): Figures => Object.fromEntries(requestClasses.map(requestClass => [`${requestClass}Refused`, refusedPart(records, requestClass)]));
 
-/** Largest share of the region in any window, over its share before the loss. */
-const overshootOf = (runs: readonly GroupedRun[], share: number, fromMs: number, toMs: number): number => {
+/** Most runs of the region in any window, over those of a window before the loss. */
+const overshootOf = (runs: readonly GroupedRun[], usual: number, fromMs: number, toMs: number): number => {
+	const there = runs.filter(({region}) => region === lostRegion);
 	let largest = 0;
-	for (let atMs = fromMs; atMs + shareMs <= toMs; atMs += shareMs / 4) {
-		const window = runs.filter(({startedAtMs}) => startedAtMs >= atMs && startedAtMs < atMs + shareMs);
-		const there = window.filter(({region}) => region === lostRegion).length;
-		largest = Math.max(largest, there / Math.max(1, window.length));
+	for (let atMs = fromMs; atMs + windowMs <= toMs; atMs += windowMs / 4) {
+		largest = Math.max(largest, there.filter(({startedAtMs}) => startedAtMs >= atMs && startedAtMs < atMs + windowMs).length);
 	}
 
-	return largest / share;
+	return largest / usual;
 };
 
 const loseRegion = async (deployment: Deployment): Promise<readonly string[]> => {
@@ -110,7 +109,7 @@
 	const between = (fromMs: number, toMs: number) => records.filter(({intendedAtMs}) => intendedAtMs + startedAtMs >= fromMs && intendedAtMs + startedAtMs < toMs);
 	const runs = groupedRuns(await readRuns(deployment), 'loss');
 	const before = runs.filter(run => run.startedAtMs > startedAtMs + (settleMs / 2) && run.startedAtMs < lostAtMs);
-	const share = before.filter(({region}) => region === lostRegion).length / before.length;
+	const usual = before.filter(({region}) => region === lostRegion).length * windowMs / (settleMs / 2);
 	const {examples, ...check} = checkPromises(records, await readLedger(deployment));
 	const lostLater = between(lostAtMs + adjustMs, restoredAtMs).filter(({outcome}) => outcome === 'no-answer').length;
 	return {
@@ -120,7 +119,7 @@
 		...Object.fromEntries(Object.entries(classFigures(between(endedAtMs - adjustMs, endedAtMs))).map(([name, part]) => [`${name}After`, part])),
 		overSlots,
 		overSlotsInRecovery: await largestOverSlots(deployment, service, zonesOf(deployment, () => true)),
-		overshoot: overshootOf(runs, share, restoredAtMs, endedAtMs),
+		overshoot: overshootOf(runs, usual, restoredAtMs, endedAtMs),
 		withoutAnswerAtLoss: check.lost - lostLater,
 		withoutAnswer: lostLater,
 		notRunButRan: check.notRunButRan,
@@ -161,7 +160,7 @@
 				baseline: baselineFigures(deployment),
 				value,
 				ratio: value.overshoot,
-				bound: 'others over their slots at most 1% of the time, lowest class refused first, recovery at most 1.2x the share before',
+				bound: 'others over their slots at most 1% of the time, lowest class refused first, recovery at most 1.2x the runs before',
 				ok: isKept(value),
 			};
 		} finally {
