--- a/packages/routing/src/__tests__/createRouter.test.ts
+++ b/packages/routing/src/__tests__/createRouter.test.ts
@@ -310,11 +310,15 @@
 	}), {seed: 7, numRuns: 40});
 });
 
-test('where most endpoints of the chosen region look bad, none of them is left out', async () => {
+test.each([
+	['', []],
+	[' and the others of it are leaving', ['x', 'y']],
+])('where most endpoints of the chosen region look bad%s, none of them is left out', async (_name, leaving) => {
 	const far = ['c', 'd', 'e'].map(id => endpoint(id, {availabilityZone: 's1'}));
-	const {ask, sent, timers, router} = createTestRouter([endpoint('a'), endpoint('b'), ...far], {
+	const {ask, sent, timers, router} = createTestRouter([endpoint('a'), endpoint('b'), ...leaving.map(id => endpoint(id)), ...far], {
 		chooseZone: () => ({kind: 'zone', availabilityZone: 'n1'}),
 	});
+	router.setLeaving(leaving);
 	for (let index = 0; index < 30; index += 1) {
 		void ask({route: order, deadlineAtMs: timers.now() + 1000});
 		await timers.settle(); // eslint-disable-line no-await-in-loop
--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -115,7 +115,7 @@
 
 	return need => {
 		// Counted among those that the request may use: a request that steering keeps in one region finds no others.
-		const all = need.tiers.flatMap(({trackers}) => trackers);
+		const all = need.tiers.flatMap(({trackers}) => trackers.filter(tracker => !isLeaving(tracker)));
 		const ejected = all.filter(({health}) => health.state() === 'ejected').length;
 		const excludesEjected = ejected <= all.length / 2;
 		const mayTake = (tracker: EndpointTracker) => !isLeaving(tracker) && !need.excluded.includes(tracker);
