--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -9,10 +9,9 @@
  * between two requests of its owner. Long requests stop borrowing much earlier, since they keep
  * the slot for many times longer than a report is true, and short ones would wait behind them.
  *
- * Left out are endpoints that are leaving, ejected ones (unless more than half of those that the
- * request may reach are: then the fault is likely not theirs, or the rest could not carry the
- * load, and none is left out), and, while there is another, those whose oldest request has been
- * waiting for several times its usual time.
+ * Left out are endpoints that are leaving, ejected ones (unless more than half of those that
+ * the request may use are: then the fault is likely not theirs, and none is left out), and, while there
+ * is another, those whose oldest request has been waiting for several times its usual time.
  */
 import type {Random} from '@filbertwell/utils/random';
 import type {EndpointTracker} from './endpointTracker.js';
@@ -47,8 +46,6 @@
 };
 
 const stalledAge = 2.5;
-/** Slowness up to which an endpoint is not avoided: one that is avoided for a single long answer would never show that it is well. */
-const ordinarySlowness = 2;
 /** Free slots that a fresh report must show; one for rounding less than a whole. */
 const freshRoom = 0.9;
 /** Further free slots that the estimate must show as the report grows old. */
@@ -72,7 +69,7 @@
 };
 
 const relativeWork = (tracker: EndpointTracker): number =>
-	(tracker.inUse() + 1) / tracker.slots() * Math.max(1, tracker.health.slowness() / ordinarySlowness) / tracker.health.share();
+	(tracker.inUse() + 1) / tracker.slots() * tracker.health.avoidance() / tracker.health.share();
 
 /**
  * Creates the choice.
@@ -117,9 +114,10 @@
 	};
 
 	return need => {
-		const within = need.tiers.flatMap(({trackers}) => trackers).filter(tracker => !isLeaving(tracker));
-		const ejected = within.filter(({health}) => health.state() === 'ejected').length;
-		const excludesEjected = ejected <= within.length / 2;
+		// Counted among those that the request may use: a request that steering keeps in one region finds no others.
+		const all = need.tiers.flatMap(({trackers}) => trackers.filter(tracker => !isLeaving(tracker)));
+		const ejected = all.filter(({health}) => health.state() === 'ejected').length;
+		const excludesEjected = ejected <= all.length / 2;
 		const mayTake = (tracker: EndpointTracker) => !isLeaving(tracker) && !need.excluded.includes(tracker);
 
 		for (const {trackers, isRemote} of need.tiers) {
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -100,7 +100,7 @@
 		},
 		trackers: () => trackers,
 		find: endpointId => byId.get(endpointId),
-		choose: need => choose(need),
+		choose,
 		chooseProbe(tiers) {
 			if (!trackers.some(({health}) => health.probeIsDue())) {
 				return undefined;
--- a/packages/routing/src/outlierDetection.ts
+++ b/packages/routing/src/outlierDetection.ts
@@ -30,6 +30,12 @@
 	readonly recordProbe: () => void;
 	/** Moving geometric mean of the time to first byte over the usual time of the route; 1 is usual. */
 	readonly slowness: () => number;
+	/**
+	 * Factor, at least 1, by which its work counts more in a choice: its slowness, forgotten within
+	 * half a second without an answer. One that is avoided for a single long answer would
+	 * otherwise never show that it is well.
+	 */
+	readonly avoidance: () => number;
 	/** Share of its usual work, from 0 to 1, below 1 in a slow start. */
 	readonly share: () => number;
 	readonly recordAnswer: (slowness: number) => void;
@@ -48,6 +54,7 @@
 /** A probe is worth more than a sample among many, since there are few of them. */
 const probeFactor = 2;
 const smallestSample = 0.1;
+const avoidanceMs = 500;
 const largestSample = 10;
 const ejectionSlowness = 3;
 const recoverySlowness = 2;
@@ -72,6 +79,7 @@
 export const createEndpointHealth = (clock: Clock, isNew: boolean, onChange: HealthChange): EndpointHealth => {
 	let ejection: EjectionReason | undefined;
 	let logSlowness = 0;
+	let sampledAtMs = clock();
 	let failureRate = 0;
 	let attempts = 0;
 	let probeMs = firstProbeMs;
@@ -114,6 +122,7 @@
 		attempts += 1;
 		// The mean of the logarithms: one answer that takes ten times as long, as some always do,
 		// weighs no more than one that takes a tenth.
+		sampledAtMs = clock();
 		logSlowness += factor * slownessWeight * (Math.log(bounded) - logSlowness);
 		failureRate += factor * failureWeight * (failed - failureRate);
 		judge();
@@ -128,6 +137,10 @@
 			nextProbeAtMs = clock() + probeMs;
 		},
 		slowness,
+		avoidance() {
+			const remembered = Math.max(0, 1 - ((clock() - sampledAtMs) / avoidanceMs));
+			return 1 + (remembered * Math.max(0, slowness() - 1));
+		},
 		share: () => slowStartShare(rampFromMs === undefined ? undefined : clock() - rampFromMs),
 		recordAnswer(sample) {
 			observe(sample, 0);
