--- a/packages/routing/src/__tests__/createRouter.test.ts
+++ b/packages/routing/src/__tests__/createRouter.test.ts
@@ -309,3 +309,50 @@
 		expect(router.load()).toStrictEqual({inFlight: 0, queued: 0});
 	}), {seed: 7, numRuns: 40});
 });
+
+test('a request is hedged in a region whose own times are not yet known', async () => {
+	const {ask, learn, sent, timers} = createTestRouter([
+		endpoint('a', {slots: 1}),
+		endpoint('s', {availabilityZone: 's1', slots: 4}),
+		endpoint('b', {availabilityZone: 'n2', slots: 1}),
+	]);
+	await learn(60, 100);
+	const near = [ask(), ask()];
+	await timers.settle();
+	void ask();
+	await timers.settle();
+	expect(sent.map(attempt => attempt.endpoint).toSorted()).toStrictEqual(['a', 'b', 's']);
+	for (const attempt of sent.filter(({endpoint: id}) => id !== 's')) {
+		attempt.answer();
+	}
+
+	await Promise.all(near);
+	await timers.advance(450);
+	expect(sent.at(-1)!.attempt.cause).toBe('hedge');
+});
+
+test.each([
+	['', []],
+	[' and the others of it are leaving', ['x', 'y']],
+])('where most endpoints of the chosen region look bad%s, none of them is left out', async (_name, leaving) => {
+	const far = ['c', 'd', 'e'].map(id => endpoint(id, {availabilityZone: 's1'}));
+	const {ask, sent, timers, router} = createTestRouter([endpoint('a'), endpoint('b'), ...leaving.map(id => endpoint(id)), ...far], {
+		chooseZone: () => ({kind: 'zone', availabilityZone: 'n1'}),
+	});
+	router.setLeaving(leaving);
+	for (let index = 0; index < 30; index += 1) {
+		void ask({route: order, deadlineAtMs: timers.now() + 1000});
+		await timers.settle(); // eslint-disable-line no-await-in-loop
+		for (const attempt of sent.splice(0)) {
+			attempt.settle({kind: 'failed', reason: 'reset'});
+		}
+
+		await timers.settle(); // eslint-disable-line no-await-in-loop
+	}
+
+	const ejected = router.state()[0]!.endpoints.filter(({health}) => health === 'ejected').map(({id}) => id);
+	expect(ejected).toEqual(['a', 'b']);
+	void ask({route: order});
+	await timers.settle();
+	expect(sent).toHaveLength(1);
+});
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -100,8 +100,12 @@
 		},
 		trackers: () => trackers,
 		find: endpointId => byId.get(endpointId),
-		choose: need => choose(need, trackers),
+		choose,
 		chooseProbe(tiers) {
+			if (!trackers.some(({health}) => health.probeIsDue())) {
+				return undefined;
+			}
+
 			const due = tiers
 				.flatMap(tier => tier.trackers)
 				.find(tracker => tracker.health.probeIsDue() && tracker.inFlight() === 0 && !isLeaving(tracker));
