Entry: early refusals of later attempts are in doubt; look-ups without an entry are 503

Cause: a refusal before the claim was read said 'not-run' for a resend whose earlier attempt may have run; every failed look-up was a 404. Change: only attempt 1 of an at-most-once request is refused as not run before its claim is read; look-up errors have their own status. Conclusion: three rows in the table of refusals.

--- a/packages/entry/src/__tests__/callerServer.test.ts
+++ b/packages/entry/src/__tests__/callerServer.test.ts
@@ -66,6 +66,23 @@
 	{
 		name: 'deadline of zero', request: {headers: {'x-filbertwell-deadline-ms': '0'}}, status: 504, outcome: 'not-run', says: 'has passed',
 	},
+	{
+		name: 'first attempt of an order past its deadline',
+		request: {path: '/inventory/order/1', method: 'POST', headers: {'x-filbertwell-deadline-ms': '0', 'x-filbertwell-attempt': '1'}},
+		status: 504,
+		outcome: 'not-run',
+		says: 'has passed',
+	},
+	{
+		name: 'later attempt of an order past its deadline',
+		request: {path: '/inventory/order/1', method: 'POST', headers: {'x-filbertwell-deadline-ms': '0', 'x-filbertwell-attempt': '2'}},
+		status: 504,
+		outcome: 'in-doubt',
+		says: 'has passed',
+	},
+	{
+		name: 'look-up while no entry serves', request: {path: '/lookup?service=lonely'}, status: 503, outcome: 'not-run', says: 'no entry serves',
+	},
 	{
 		name: 'deadline that is no number', request: {headers: {'x-filbertwell-deadline-ms': '1e3'}}, status: 400, outcome: 'invalid', says: '1e3',
 	},
--- a/packages/entry/src/__tests__/testEntry.ts
+++ b/packages/entry/src/__tests__/testEntry.ts
@@ -13,6 +13,7 @@
 import type {Endpoint, Route, Service} from '@filbertwell/types/intent';
 import {monotonicClock} from '@filbertwell/utils/clock';
 import {createRandom} from '@filbertwell/utils/random';
+import {err, ok} from 'neverthrow';
 import {type CallerServerSettings, createCallerServer, defaultCallerServerSettings} from '../callerServer.js';
 import {createUpstreamClient} from '../upstreamClient.js';
 
@@ -185,10 +186,10 @@
 		upstreams,
 		orders: createMemoryOrders(),
 		lookup: service => service === 'inventory'
-			? {
+			? ok({
 				service, block: undefined, addresses: [], lifetimeSeconds: 5, configurationVersion: 1,
-			}
-			: undefined,
+			})
+			: err(service === 'lonely' ? {kind: 'noEntry', message: 'no entry serves'} : {kind: 'unknownService', message: `service "${service}" is not configured`}),
 		currentConfiguration: () => configuration,
 		isServing: () => isServing,
 		log: silentLogger,
--- a/packages/entry/src/entryRuntime.ts
+++ b/packages/entry/src/entryRuntime.ts
@@ -223,7 +223,7 @@
 		},
 		upstreams,
 		orders,
-		lookup: (service, address) => lookup.answer(service, address).unwrapOr(undefined),
+		lookup: lookup.answer,
 		currentConfiguration: () => follower.current(),
 		isServing: () => isServing && !isLeaving,
 		log,
--- a/packages/entry/src/lookupHandler.ts
+++ b/packages/entry/src/lookupHandler.ts
@@ -2,11 +2,22 @@
  * Answers look-ups: `GET /lookup?service=NAME[&address=IP]`.
  */
 import {isIP} from 'node:net';
+import type {LookupError, LookupErrorKind} from '@filbertwell/steering/lookupError';
 import type {LookupAnswer} from '@filbertwell/types/lookupAnswer';
+import type {Result} from 'neverthrow';
 import {type OwnAnswer, problemAnswer} from './answer.js';
 
-/** Finds entries for a caller; `undefined` for an unknown service. */
-export type Lookup = (service: string, address: string) => LookupAnswer | undefined;
+/** Finds entries for a caller. */
+export type Lookup = (service: string, address: string) => Result<LookupAnswer, LookupError>;
+
+const statusOfError: Readonly<Record<LookupErrorKind, number>> = {
+	invalidAddress: 400,
+	unknownService: 404,
+	noConfiguration: 503,
+	noEntry: 503,
+};
+
+const retryAfterSeconds = 1;
 
 const ipv4Mapped = '::ffff:';
 
@@ -38,12 +49,13 @@
 		return problemAnswer(400, 'invalid', 'invalidRequest', `address "${address.slice(0, 100)}" is no IPv4 or IPv6 address`);
 	}
 
-	const answer = lookup(service, address);
-	return answer === undefined
-		? {
-			status: 404,
-			outcome: 'invalid',
-			body: {problem: 'unknownService', detail: `service "${service.slice(0, 100)}" is not configured; services are in "services"`, services: serviceNames},
-		}
-		: {status: 200, outcome: 'answered', body: answer};
+	return lookup(service, address).match(
+		(answer): OwnAnswer => ({status: 200, outcome: 'answered', body: answer}),
+		({kind, message}): OwnAnswer => {
+			const status = statusOfError[kind];
+			return status === 503
+				? {...problemAnswer(status, 'not-run', kind, message), retryAfterSeconds}
+				: {status, outcome: 'invalid', body: {problem: kind, detail: message, services: serviceNames}};
+		},
+	);
 };
--- a/packages/entry/src/requestHandler.ts
+++ b/packages/entry/src/requestHandler.ts
@@ -12,7 +12,7 @@
 import {submitOrder} from './orderDispatch.js';
 import {answerUnanswered} from './outcomeAnswer.js';
 import {limitStream, readBody} from './requestBody.js';
-import type {ParsedRequest} from './requestParser.js';
+import {earlyRefusal, type ParsedRequest} from './requestParser.js';
 import {callerHeaders, relayAnswer} from './responseRelay.js';
 import {upstreamHeaders} from './upstreamHeaders.js';
 import type {UpstreamBody, UpstreamClient, UpstreamRequest} from './upstreamClient.js';
@@ -34,10 +34,10 @@
 	closesConnection: true,
 });
 
-const late: OwnAnswer = {
-	...problemAnswer(408, 'not-run', 'bodyTooSlow', 'the body did not arrive before the deadline; nothing was run'),
+const late = ({route, attempt}: ParsedRequest): OwnAnswer => ({
+	...problemAnswer(408, earlyRefusal(route.kind, attempt), 'bodyTooSlow', 'the body did not arrive before the deadline; this attempt was not run'),
 	closesConnection: true,
-};
+});
 
 /**
  * Creates the handler.
@@ -125,7 +125,7 @@
 		}
 
 		if (read.kind !== 'ready') {
-			sendOwn(response, parsed, read.kind === 'tooLarge' ? tooLarge(parsed) : late);
+			sendOwn(response, parsed, read.kind === 'tooLarge' ? tooLarge(parsed) : late(parsed));
 			return;
 		}
 
--- a/packages/entry/src/requestParser.ts
+++ b/packages/entry/src/requestParser.ts
@@ -3,7 +3,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
-import type {Route, Service} from '@filbertwell/types/intent';
+import type {Route, RouteKind, Service} from '@filbertwell/types/intent';
 import {
 	attemptHeader, deadlineHeader, idempotencyKeyHeader, requestIdHeader, tenantHeader,
 } from '@filbertwell/types/headers';
@@ -70,7 +70,18 @@
 	return err(invalid(`${name}: "${text.slice(0, longestName)}" is not allowed; use 1 to ${longest} letters, digits and . : @ _ -`));
 };
 
-const parseDeadline = (request: IncomingMessage, route: Route): Result<number, OwnAnswer> => {
+/**
+ * What a refusal before routing says of a request. A claim was not looked at: an earlier attempt
+ * of an at-most-once request may have run, unless this is by its number the first.
+ *
+ * @param kind - Kind of the route.
+ * @param attempt - The caller's number of the attempt, if it gave one.
+ * @returns `not-run`, or `in-doubt` where an earlier attempt may have run.
+ */
+export const earlyRefusal = (kind: RouteKind, attempt: number | undefined): 'not-run' | 'in-doubt' =>
+	kind === 'atMostOnce' && attempt !== 1 ? 'in-doubt' : 'not-run';
+
+const parseDeadline = (request: IncomingMessage, route: Route, attempt: number | undefined): Result<number, OwnAnswer> => {
 	const text = single(request, deadlineHeader);
 	if (text === undefined) {
 		return ok(route.deadlineMs);
@@ -79,7 +90,7 @@
 	// A sign is well formed: it tells of a deadline that has passed.
 	if (/^-\d{1,10}$/.test(text) || text === '0') {
 		return err({
-			...problemAnswer(504, 'not-run', 'deadlinePassed', `${deadlineHeader}: "${text}" has passed; nothing was run`),
+			...problemAnswer(504, earlyRefusal(route.kind, attempt), 'deadlinePassed', `${deadlineHeader}: "${text}" has passed; this attempt was not run`),
 			closesConnection: true,
 		});
 	}
@@ -145,7 +156,7 @@
 	const key = parseName(request, idempotencyKeyHeader, longestKey);
 	const id = parseName(request, requestIdHeader, longestKey);
 	const attempt = parseInteger(request, attemptHeader);
-	const deadline = parseDeadline(request, route);
+	const deadline = parseDeadline(request, route, attempt.unwrapOr(undefined));
 	const length = parseLength(request, service);
 	for (const part of [tenant, key, id, attempt, deadline, length]) {
 		if (part.isErr()) {
--- a/packages/lookup/src/lookupServer.ts
+++ b/packages/lookup/src/lookupServer.ts
@@ -45,7 +45,7 @@
 		const url = URL.canParse(target, baseUrl) ? new URL(target, baseUrl) : undefined;
 		return method === 'GET' && url?.pathname === '/lookup'
 			? answerLookup(
-				(service, caller) => lookup.answer(service, caller).unwrapOr(undefined),
+				lookup.answer,
 				url.searchParams,
 				callerAddress,
 				current.services.map(({name}) => name),
--- a/packages/measure/src/requestPath/bench.ts
+++ b/packages/measure/src/requestPath/bench.ts
@@ -20,6 +20,7 @@
 import type {SocketAddress} from '@filbertwell/types/place';
 import {monotonicClock} from '@filbertwell/utils/clock';
 import {createRandom} from '@filbertwell/utils/random';
+import {err} from 'neverthrow';
 import {type BaselinePolicy, createBaselineRouter} from './baselineRouter.js';
 
 /** How entries route: a baseline, or the product with one way of dividing slots. */
@@ -151,7 +152,7 @@
 		router,
 		upstreams,
 		orders: withoutOrders,
-		lookup: () => undefined,
+		lookup: () => err({kind: 'noEntry', message: 'no look-ups here'}),
 		currentConfiguration: () => configuration,
 		isServing: () => true,
 		log: silentLogger,
--- a/packages/measure/src/requestPath/proxyProcess.ts
+++ b/packages/measure/src/requestPath/proxyProcess.ts
@@ -15,6 +15,7 @@
 import {loadHeader} from '@filbertwell/types/headers';
 import {monotonicClock} from '@filbertwell/utils/clock';
 import {createRandom} from '@filbertwell/utils/random';
+import {err} from 'neverthrow';
 import {benchConfiguration, withoutOrders} from './bench.js';
 import {readRoute} from './readLoad.js';
 
@@ -84,7 +85,7 @@
 		router,
 		upstreams,
 		orders: withoutOrders,
-		lookup: () => undefined,
+		lookup: () => err({kind: 'noEntry', message: 'no look-ups here'}),
 		currentConfiguration: () => configuration,
 		isServing: () => true,
 		log: createLogger('entry'),
