--- a/packages/routing/src/endpointChoice.ts
+++ b/packages/routing/src/endpointChoice.ts
@@ -56,7 +56,7 @@
 const longRoom = 1;
 
 /** Whether an endpoint takes no new work. */
-export const isLeaving = (tracker: EndpointTracker): boolean => tracker.leavingSignals().length > 0;
+export const isLeaving = (tracker: EndpointTracker): boolean => tracker.isLeaving();
 
 const ownsFreeSlot = (tracker: EndpointTracker, isLong: boolean): boolean => {
 	const {slots, forLong} = tracker.owned();
@@ -69,7 +69,7 @@
 };
 
 const relativeWork = (tracker: EndpointTracker): number =>
-	(tracker.inUse() + 1) / tracker.slots() * Math.max(1, tracker.health.slowness()) / tracker.health.share();
+	(tracker.inUse() + 1) / tracker.slots() * tracker.health.avoidance() / tracker.health.share();
 
 /**
  * Creates the choice.
--- a/packages/routing/src/endpointTracker.ts
+++ b/packages/routing/src/endpointTracker.ts
@@ -51,6 +51,8 @@
 	readonly stall: () => number;
 	readonly setLeaving: (signal: LeavingSignal, isLeaving: boolean) => void;
 	readonly leavingSignals: () => readonly LeavingSignal[];
+	/** Whether it takes no new work. */
+	readonly isLeaving: () => boolean;
 };
 
 const nothingOwned: OwnedSlots = {slots: 0, forLong: 0};
@@ -122,7 +124,7 @@
 		slots,
 		observeReport(report, atMs, isOnAnswer) {
 			load.observe(report, atMs, flights.size - (isOnAnswer ? 1 : 0));
-			if (!isOnAnswer) {
+			if (!isOnAnswer && health.state() === 'healthy') {
 				meanUse.record(report.inUse + report.queued, report.slots);
 			}
 
@@ -159,5 +161,6 @@
 			}
 		},
 		leavingSignals: () => [...leaving],
+		isLeaving: () => leaving.size > 0,
 	};
 };
