--- /dev/null
+++ b/packages/entry/src/orderRetention.ts
@@ -0,0 +1,54 @@
+/**
+ * Starts the removal of orders past their retention, at one entry at a time.
+ */
+import {createLogger} from '@filbertwell/logger/logger';
+import {runOrderCleanup} from '@filbertwell/orders/orderCleanup';
+import {createLease} from '@filbertwell/platform/lease';
+import type {Platform} from '@filbertwell/platform/platform';
+import type {Clock} from '@filbertwell/utils/clock';
+import type {Random} from '@filbertwell/utils/random';
+
+/** Parameters of the removal. */
+export type OrderRetentionOptions = {
+	readonly platform: Platform;
+	/** Id of this process. */
+	readonly holder: string;
+	/** Whether this process may hold the lease; few do, since each candidate reads the table. */
+	readonly isCandidate: () => boolean;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly signal: AbortSignal;
+};
+
+const leaseTermMs = 30_000;
+const leaseIntervalMs = leaseTermMs / 3;
+const passIntervalMs = 3_600_000;
+/** Seven days: a caller that has not asked after an order by then never will. */
+const retentionMs = 7 * 24 * 3_600_000;
+const pagePauseMs = 200;
+
+/**
+ * Runs until the signal is aborted.
+ *
+ * @param options - Platform and this process.
+ */
+export const keepOrderRetention = async ({platform, holder, isCandidate, clock, random, signal}: OrderRetentionOptions): Promise<void> => {
+	const log = createLogger('orders');
+	await runOrderCleanup({
+		lease: createLease({
+			table: platform.table, name: 'order-retention', holder, termMs: leaseTermMs, clock, log,
+		}),
+		isCandidate,
+		leaseIntervalMs,
+		passIntervalMs,
+		retentionMs,
+		pagePauseMs,
+		table: platform.table,
+		objects: platform.objects,
+		clock,
+		wallClock: Date.now,
+		random,
+		log,
+		signal,
+	});
+};
--- a/packages/orders/src/__tests__/orderCleanup.test.ts
+++ b/packages/orders/src/__tests__/orderCleanup.test.ts
@@ -8,10 +8,11 @@
 import {runOrderCleanup} from '../orderCleanup.js';
 import {serializeOrderRow} from '../orderRow.js';
 
-const start = async (platform: MemoryPlatform, holder: string, signal: AbortSignal) => runOrderCleanup({
+const start = async (platform: MemoryPlatform, holder: string, signal: AbortSignal, isCandidate = () => true) => runOrderCleanup({
 	lease: createLease({
 		table: platform.table, name: 'order-cleanup', holder, termMs: 60_000, clock: monotonicClock, log: silentLogger,
 	}),
+	isCandidate,
 	leaseIntervalMs: 1,
 	passIntervalMs: 60_000,
 	retentionMs: 1000,
@@ -44,3 +45,19 @@
 	await Promise.all(running);
 	expect(platform.state.read('orders/s/4500')).toBeDefined();
 });
+
+test('a process that is no candidate leaves the lease alone', async () => {
+	const platform = createMemoryPlatform();
+	const stopping = new AbortController();
+	let asked = 0;
+	await start(platform, 'a', stopping.signal, () => {
+		asked += 1;
+		if (asked === 3) {
+			stopping.abort();
+		}
+
+		return false;
+	});
+	const rows = await platform.table.scan({prefix: '', after: '', limit: 10});
+	expect(rows._unsafeUnwrap()).toEqual([]);
+});
