--- a/packages/entry/src/__tests__/firstConfiguration.test.ts
+++ b/packages/entry/src/__tests__/firstConfiguration.test.ts
@@ -1,9 +1,16 @@
 import {NEVER, of} from 'rxjs';
 import {expect, test} from 'vitest';
+import {rodalarIntent} from '@filbertwell/example-rodalar/rodalarIntent';
 import type {Configuration} from '@filbertwell/types/configuration';
 import {firstConfiguration} from '../firstConfiguration.js';
 
-const configuration = {version: 3} as Configuration;
+const configuration: Configuration = {
+	version: 3,
+	changeId: 'c',
+	author: 'a',
+	acceptedAt: '',
+	intent: rodalarIntent({host: '127.0.0.1', basePort: 1}),
+};
 
 test('a configuration in force is taken', async () => {
 	expect(await firstConfiguration({inForce: of(configuration)}, new AbortController().signal)).toBe(configuration);
