--- a/packages/entry/src/__tests__/firstConfiguration.test.ts
+++ b/packages/entry/src/__tests__/firstConfiguration.test.ts
@@ -1,6 +1,6 @@
 import {NEVER, of} from 'rxjs';
 import {expect, test} from 'vitest';
-import {rodalarIntent} from '@filbertwell/example-rodalar/rodalarIntent';
+import {intent} from '@filbertwell/intent/buildIntent';
 import type {Configuration} from '@filbertwell/types/configuration';
 import {firstConfiguration} from '../firstConfiguration.js';
 
@@ -9,7 +9,9 @@
 	changeId: 'c',
 	author: 'a',
 	acceptedAt: '',
-	intent: rodalarIntent({host: '127.0.0.1', basePort: 1}),
+	intent: intent({
+		deployment: 'test', regions: [], services: [], sitePreferences: [],
+	}),
 };
 
 test('a configuration in force is taken', async () => {
