--- a/packages/entry/src/controlPlane.ts
+++ b/packages/entry/src/controlPlane.ts
@@ -41,6 +41,8 @@
 	readonly membership: Membership;
 	readonly follower: ConfigurationFollower;
 	readonly lookup: Lookup;
+	/** Whether this process is one of the few that poll the platform. */
+	readonly isPoller: () => boolean;
 	readonly stop: () => Promise<void>;
 };
 
@@ -141,6 +143,7 @@
 		membership,
 		follower,
 		lookup,
+		isPoller,
 		async stop() {
 			subscription.unsubscribe();
 			await collection.stop();
--- a/packages/entry/src/entryRuntime.ts
+++ b/packages/entry/src/entryRuntime.ts
@@ -5,26 +5,25 @@
 import {createLogger} from '@filbertwell/logger/logger';
 import {entryEvents} from '@filbertwell/logger/events/entryEvents';
 import {processEvents} from '@filbertwell/logger/events/processEvents';
-import {steeringEvents} from '@filbertwell/logger/events/steeringEvents';
 import {createMetrics} from '@filbertwell/metrics/createMetrics';
 import {createOrders} from '@filbertwell/orders/createOrders';
-import {createRouter, type Router} from '@filbertwell/routing/createRouter';
+import {createRouter} from '@filbertwell/routing/createRouter';
 import {pollReports} from '@filbertwell/routing/reportPoller';
 import type {EntrySettings} from '@filbertwell/settings/entrySettings';
-import {createSteering, type DrivenSteering} from '@filbertwell/steering/createSteering';
-import type {EntryState} from '@filbertwell/types/entryState';
 import type {Member} from '@filbertwell/types/member';
 import {monotonicClock as clock} from '@filbertwell/utils/clock';
 import {runPeriodically, waitUnlessAborted} from '@filbertwell/utils/periodic';
 import {createRandom} from '@filbertwell/utils/random';
-import {firstValueFrom} from 'rxjs';
 import {createAdminServer, type Readiness} from './adminServer.js';
 import {createCallerServer, type CallerServer} from './callerServer.js';
-import {startControlPlane, type ControlPlane} from './controlPlane.js';
+import {startControlPlane} from './controlPlane.js';
+import {controlStateOf} from './controlState.js';
 import {explainRequest} from './explainRequest.js';
+import {firstConfiguration} from './firstConfiguration.js';
 import {startRegistration} from './instanceRegistration.js';
+import {keepOrderRetention} from './orderRetention.js';
 import {createRequestRate} from './requestRate.js';
-import {fetchStartingSplits} from './startingSplits.js';
+import {createSteeringDriver} from './steeringDriver.js';
 import {createUpstreamClient} from './upstreamClient.js';
 
 /** A running entry. */
@@ -40,38 +39,18 @@
 const conditionIntervalMs = 1000;
 const millisecondsPerSecond = 1000;
 const noJitter = 0;
-/** Pause after which callers have given this entry up and use its peers. */
-const adoptAfterPauseMs = 2000;
 
 const isSharingEntry = (member: Member): boolean => member.role === 'entry' && member.state === 'serving';
 
-const stateOf = ({membership, follower}: ControlPlane, steering: DrivenSteering, router: Router): EntryState => {
-	const configuration = follower.current();
-	const state = {
-		self: membership.self(),
-		members: membership.members(),
-		configuration: configuration && {
-			version: configuration.version,
-			changeId: configuration.changeId,
-			author: configuration.author,
-			acceptedAt: configuration.acceptedAt,
-		},
-		drains: configuration?.intent.drains ?? [],
-		shiftCaps: configuration?.intent.shiftCaps,
-		shifts: steering.progress(),
-		services: router.state(),
-	};
-	return state;
-};
-
 /**
  * Starts an entry. It serves once a configuration is in force.
  *
  * @param settings - Checked settings.
  * @param seed - Seed of its random numbers.
+ * @param stopRequested - Aborted when the process is asked to stop; it then waits for no configuration.
  * @returns The running entry; rejects where an address can't be listened on.
  */
-export const startEntryRuntime = async (settings: EntrySettings, seed: number): Promise<EntryRuntime> => {
+export const startEntryRuntime = async (settings: EntrySettings, seed: number, stopRequested: AbortSignal): Promise<EntryRuntime> => {
 	const log = createLogger('entry');
 	const random = createRandom(seed);
 	const stopping = new AbortController();
@@ -82,6 +61,7 @@
 	let isServing = false;
 	let isLeaving = false;
 	let isSuperseded = false;
+	let callers: CallerServer | undefined;
 
 	const control = await startControlPlane({
 		settings, role: 'entry', callerAddress: settings.callers, clock, random, metrics,
@@ -105,8 +85,8 @@
 		incarnation: membership.self().incarnation,
 	});
 	const upstreams = createUpstreamClient();
-	let steering = createSteering({
-		region, clock, log: createLogger('steering'), members: () => membership.members(), peerSplits: [],
+	const driver = createSteeringDriver({
+		region, clock, control, signal,
 	});
 	const router = createRouter({
 		clock,
@@ -114,7 +94,7 @@
 		log: createLogger('routing'),
 		metrics,
 		self: {id, region, availabilityZone},
-		chooseZone: (service, requestClass) => steering.chooseZone(service, requestClass),
+		chooseZone: (service, requestClass) => driver.steering().chooseZone(service, requestClass),
 		fetchReport: upstreams.fetchReport,
 	});
 
@@ -129,10 +109,13 @@
 	const admin = await createAdminServer({
 		address: settings.admin,
 		readiness,
-		state: () => stateOf(control, steering, router),
+		state() {
+			const state = {...controlStateOf(control), shifts: driver.steering().progress(), services: router.state()};
+			return state;
+		},
 		exposition: async () => metrics.exposition(),
 		explain: query => explainRequest({
-			entry: id, configuration: () => follower.current(), lookup, steering, routerState: () => router.state(),
+			entry: id, configuration: () => follower.current(), lookup, steering: driver.steering(), routerState: () => router.state(),
 		}, query),
 		takeOffer: ({head, parts}) => follower.offer(head, parts),
 	});
@@ -153,41 +136,10 @@
 		});
 	};
 
-	const startSteering = async () => {
-		await firstValueFrom(follower.inForce);
-		const peerSplits = await fetchStartingSplits({
-			membership, channel, clock, signal,
-		});
-		if (peerSplits.length > 0) {
-			log(steeringEvents.startedFromPeers, {services: peerSplits.length});
-		}
-
-		steering = createSteering({
-			region, clock, log: createLogger('steering'), members: () => membership.members(), peerSplits,
-		});
-		follower.inForce.subscribe(configuration => {
-			steering.configure(configuration);
-			router.configure(configuration);
-		});
-		channel.handle('steering.splits', () => ({configurationVersion: follower.current()?.version ?? 0, splits: steering.splits()}));
-	};
-
-	const moveSplits = async () => {
-		if (steering.step() < adoptAfterPauseMs) {
-			return;
-		}
-
-		const peerSplits = await fetchStartingSplits({
-			membership, channel, clock, signal,
-		});
-		steering.adopt(peerSplits);
-		log(steeringEvents.startedFromPeers, {services: peerSplits.length});
-	};
-
 	const reportLoad = () => {
 		rate.endPeriod(conditionIntervalMs);
 		membership.announceLoad({...router.load(), requestsPerSecond: rate.perSecond()});
-		steering.observe(router.conditions());
+		driver.steering().observe(router.conditions());
 	};
 
 	const startPeriodicWork = () => {
@@ -197,11 +149,14 @@
 			});
 		};
 
-		everyInterval(steeringIntervalMs, moveSplits);
+		everyInterval(steeringIntervalMs, driver.step);
 		everyInterval(conditionIntervalMs, reportLoad);
 		void pollReports({
 			clock, random, router, fetchReport: upstreams.fetchReport, signal,
 		});
+		void keepOrderRetention({
+			platform, holder: id, isCandidate: control.isPoller, clock, random, signal,
+		});
 	};
 
 	const startCallerServer = async (): Promise<CallerServer> => createCallerServer({
@@ -223,25 +178,33 @@
 		},
 		upstreams,
 		orders,
-		lookup: (service, address) => lookup.answer(service, address).unwrapOr(undefined),
+		lookup: lookup.answer,
 		currentConfiguration: () => follower.current(),
 		isServing: () => isServing && !isLeaving,
 		log,
 		metrics,
 	});
 
-	followMembers();
-	await startSteering();
-	shareEndpoints();
-	startPeriodicWork();
-	const callers = await startCallerServer();
-	isServing = true;
-	membership.announceState('serving');
-	log(processEvents.started, {
-		id, callers: `${callers.address.host}:${callers.address.port}`, admin: `${admin.address.host}:${admin.address.port}`, version: follower.current()?.version,
-	});
+	const serve = async () => {
+		await driver.start();
+		follower.inForce.subscribe(configuration => {
+			router.configure(configuration);
+		});
+		shareEndpoints();
+		startPeriodicWork();
+		callers = await startCallerServer();
+		isServing = true;
+		membership.announceState('serving');
+		log(processEvents.started, {
+			id, callers: `${callers.address.host}:${callers.address.port}`, admin: `${admin.address.host}:${admin.address.port}`, version: follower.current()?.version,
+		});
+	};
 
 	const finishRequests = async () => {
+		if (callers === undefined) {
+			return;
+		}
+
 		const timeLimit = new AbortController();
 		await Promise.race([callers.close(), waitUnlessAborted(settings.stop.graceMs, timeLimit.signal)]);
 		timeLimit.abort();
@@ -270,8 +233,11 @@
 			registration.setState('leaving');
 		}
 
-		const lifetimeMs = (follower.current()?.intent.lookups.lifetimeSeconds ?? 0) * millisecondsPerSecond;
-		await waitUnlessAborted(lifetimeMs + settings.stop.drainMarginMs, signal);
+		if (isServing) {
+			const lifetimeMs = (follower.current()?.intent.lookups.lifetimeSeconds ?? 0) * millisecondsPerSecond;
+			await waitUnlessAborted(lifetimeMs + settings.stop.drainMarginMs, signal);
+		}
+
 		await finishRequests();
 		stopping.abort();
 		await orders.stop();
@@ -286,5 +252,10 @@
 		isSuperseded = true;
 		void stop();
 	});
+	followMembers();
+	if (await firstConfiguration(follower, stopRequested) !== undefined) {
+		await serve();
+	}
+
 	return {stop};
 };
--- a/packages/entry/src/runProgram.ts
+++ b/packages/entry/src/runProgram.ts
@@ -28,7 +28,7 @@
 	readonly noun: string;
 	readonly load: (path: string) => Result<Settings, readonly SettingsError[]>;
 	/** Starts the process; rejects where an address can't be listened on. */
-	readonly start: (settings: Settings, seed: number) => Promise<Runtime>;
+	readonly start: (settings: Settings, seed: number, stopRequested: AbortSignal) => Promise<Runtime>;
 };
 
 const exitCodes = {settings: 78, listen: 69, invariant: 70} as const;
@@ -55,12 +55,20 @@
 const startAndServe = async <Settings extends CommonSettings>(program: Program<Settings>, settings: Settings, file: string): Promise<void> => {
 	process.on('uncaughtException', stopOnBrokenInvariant);
 	process.on('unhandledRejection', stopOnBrokenInvariant);
+	const stopRequested = new AbortController();
+	for (const signalName of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signalName, () => {
+			stopRequested.abort();
+		});
+	}
+
 	try {
-		const runtime = await program.start(settings, randomInt(maximumSeed));
-		for (const signalName of ['SIGTERM', 'SIGINT'] as const) {
-			process.on(signalName, () => {
-				void runtime.stop();
-			});
+		const runtime = await program.start(settings, randomInt(maximumSeed), stopRequested.signal);
+		stopRequested.signal.addEventListener('abort', () => {
+			void runtime.stop();
+		});
+		if (stopRequested.signal.aborted) {
+			await runtime.stop();
 		}
 	} catch (error) {
 		console.error(`${file}: ${error instanceof Error ? error.message : String(error)}; choose other addresses or end the process that holds them`);
--- a/packages/lookup/src/lookupRuntime.ts
+++ b/packages/lookup/src/lookupRuntime.ts
@@ -2,19 +2,19 @@
  * The running look-up process: control plane, and the servers for callers and operators.
  */
 import {createAdminServer} from '@filbertwell/entry/adminServer';
-import {startControlPlane, type ControlPlane} from '@filbertwell/entry/controlPlane';
+import {startControlPlane} from '@filbertwell/entry/controlPlane';
+import {controlStateOf} from '@filbertwell/entry/controlState';
+import {firstConfiguration} from '@filbertwell/entry/firstConfiguration';
 import {startRegistration} from '@filbertwell/entry/instanceRegistration';
 import {processEvents} from '@filbertwell/logger/events/processEvents';
 import {createLogger} from '@filbertwell/logger/logger';
 import {createMetrics} from '@filbertwell/metrics/createMetrics';
 import type {LookupSettings} from '@filbertwell/settings/lookupSettings';
-import type {EntryState} from '@filbertwell/types/entryState';
 import type {SocketAddress} from '@filbertwell/types/place';
 import {monotonicClock as clock} from '@filbertwell/utils/clock';
 import {waitUnlessAborted} from '@filbertwell/utils/periodic';
 import {createRandom} from '@filbertwell/utils/random';
 import {err} from 'neverthrow';
-import {firstValueFrom} from 'rxjs';
 import {createLookupServer} from './lookupServer.js';
 
 /** A running look-up process. */
@@ -27,31 +27,15 @@
 
 const maximumLabelSets = 1;
 
-const stateOf = ({membership, follower}: ControlPlane): EntryState => {
-	const configuration = follower.current();
-	return {
-		self: membership.self(),
-		members: membership.members(),
-		configuration: configuration && {
-			version: configuration.version,
-			changeId: configuration.changeId,
-			author: configuration.author,
-			acceptedAt: configuration.acceptedAt,
-		},
-		drains: configuration?.intent.drains ?? [],
-		shiftCaps: configuration?.intent.shiftCaps,
-		shifts: [],
-	};
-};
-
 /**
  * Starts a look-up process. It serves once a configuration is in force.
  *
  * @param settings - Checked settings.
  * @param seed - Seed of its random numbers.
+ * @param stopRequested - Aborted when the process is asked to stop; it then waits for no configuration.
  * @returns The running process; rejects where an address can't be listened on.
  */
-export const startLookupRuntime = async (settings: LookupSettings, seed: number): Promise<LookupRuntime> => {
+export const startLookupRuntime = async (settings: LookupSettings, seed: number, stopRequested: AbortSignal): Promise<LookupRuntime> => {
 	const log = createLogger('lookup');
 	const random = createRandom(seed);
 	const metrics = createMetrics({maximumLabelSets});
@@ -75,7 +59,7 @@
 	const admin = await createAdminServer({
 		address: settings.admin,
 		readiness: () => isServing ? {ready: true, reason: 'serving'} : {ready: false, reason: 'no configuration is in force yet, or the process is stopping'},
-		state: () => stateOf(control),
+		state: () => ({...controlStateOf(control), shifts: []}),
 		exposition: async () => metrics.exposition(),
 		explain: () => err('a look-up process carries no requests; ask an entry'),
 		takeOffer: ({head, parts}) => follower.offer(head, parts),
@@ -84,11 +68,6 @@
 	metrics.observeGauge('members', 'Members that are not known to be gone', () => membership.members().length);
 	const callers = await createLookupServer({address: settings.callers, lookup, intent: () => follower.current()?.intent});
 
-	await firstValueFrom(follower.inForce);
-	isServing = true;
-	membership.announceState('serving');
-	log(processEvents.started, {id, callers: `${callers.address.host}:${callers.address.port}`, version: follower.current()?.version});
-
 	const leaveList = async () => {
 		if (isSuperseded) {
 			registration.abandon();
@@ -122,5 +101,12 @@
 		isSuperseded = true;
 		void stop();
 	});
+	const configuration = await firstConfiguration(follower, stopRequested);
+	if (configuration !== undefined) {
+		isServing = true;
+		membership.announceState('serving');
+		log(processEvents.started, {id, callers: `${callers.address.host}:${callers.address.port}`, version: configuration.version});
+	}
+
 	return {callers: callers.address, admin: admin.address, stop};
 };
--- a/packages/orders/src/orderCleanup.ts
+++ b/packages/orders/src/orderCleanup.ts
@@ -14,6 +14,8 @@
 /** Parameters of the clean-up. */
 export type OrderCleanupOptions = {
 	readonly lease: Lease;
+	/** Whether this process may hold the lease now. */
+	readonly isCandidate: () => boolean;
 	/** Time between two calls to the lease: a third of its term. */
 	readonly leaseIntervalMs: number;
 	/** Time between two passes. */
@@ -39,7 +41,7 @@
  * @param options - Lease, intervals and retention.
  */
 export const runOrderCleanup = async (options: OrderCleanupOptions): Promise<void> => {
-	const {lease, leaseIntervalMs, passIntervalMs, retentionMs, pagePauseMs, table, objects, clock, wallClock, random, log, signal} = options;
+	const {lease, isCandidate, leaseIntervalMs, passIntervalMs, retentionMs, pagePauseMs, table, objects, clock, wallClock, random, log, signal} = options;
 	let nextPassAtMs = clock();
 	let passing = false;
 
@@ -58,6 +60,10 @@
 		random,
 		signal,
 		async task() {
+			if (!isCandidate()) {
+				return;
+			}
+
 			const state = await lease.attempt();
 			if (state === 'held' && !passing && clock() >= nextPassAtMs) {
 				// Renewals go on during a pass.
