Wire the limits on waiting requests and upstream connections; end test processes with their tool

Cause: maximumQueued and maximumUpstreamConnections were read but not used (64 connections from each of 8 entries are over the 330 that an endpoint takes); a test tool that threw left its processes behind. Change: both settings reach router and client; child processes end with the process that started them. Conclusion: a test of the bound on waiting requests.

--- a/packages/entry/src/entryRuntime.ts
+++ b/packages/entry/src/entryRuntime.ts
@@ -84,7 +84,7 @@
 		entryId: id,
 		incarnation: membership.self().incarnation,
 	});
-	const upstreams = createUpstreamClient();
+	const upstreams = createUpstreamClient(settings.limits.maximumUpstreamConnections);
 	const driver = createSteeringDriver({
 		region, clock, control, signal,
 	});
@@ -96,6 +96,7 @@
 		self: {id, region, availabilityZone},
 		chooseZone: (service, requestClass) => driver.steering().chooseZone(service, requestClass),
 		fetchReport: upstreams.fetchReport,
+		maximumQueued: settings.limits.maximumQueued,
 	});
 
 	const readiness = (): Readiness => {
--- a/packages/entry/src/upstreamClient.ts
+++ b/packages/entry/src/upstreamClient.ts
@@ -50,7 +50,7 @@
 	readonly close: () => void;
 };
 
-const connectionsPerEndpoint = 64;
+const defaultConnectionsPerEndpoint = 64;
 /** Under the shortest time for which upstreams commonly keep an idle connection, 5 s. */
 const idleConnectionMs = 4000;
 const connectTimeoutMs = 1000;
@@ -109,9 +109,10 @@
 /**
  * Creates a client.
  *
+ * @param connectionsPerEndpoint - Most open connections to each endpoint.
  * @returns The client, with its kept connections.
  */
-export const createUpstreamClient = (): UpstreamClient => {
+export const createUpstreamClient = (connectionsPerEndpoint = defaultConnectionsPerEndpoint): UpstreamClient => {
 	const keptConnections = new Agent({
 		keepAlive: true, maxSockets: connectionsPerEndpoint, maxFreeSockets: connectionsPerEndpoint, timeout: idleConnectionMs, scheduling: 'lifo',
 	});
--- a/packages/harness/src/startProcess.ts
+++ b/packages/harness/src/startProcess.ts
@@ -37,6 +37,15 @@
 	readonly exited: Promise<ProcessExit>;
 };
 
+const running = new Set<ChildProcess>();
+
+// A test tool that fails half way leaves none of its processes behind.
+process.once('exit', () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+});
+
 const waitForExit = async (child: ChildProcess): Promise<ProcessExit> => {
 	const [code, signal] = await once(child, 'exit') as [number | null, NodeJS.Signals | null]; // eslint-disable-line @typescript-eslint/no-restricted-types
 	return {code: code ?? undefined, signal: signal ?? undefined};
@@ -58,6 +67,7 @@
 		throw new Error(`${name}: ${script} could not be started`);
 	}
 
+	running.add(child);
 	const log = createWriteStream(logFile, {flags: 'a'});
 	child.stdout.pipe(log, {end: false});
 	child.stderr.pipe(log, {end: false});
@@ -65,6 +75,7 @@
 	const exited = (async () => {
 		const exit = await waitForExit(child);
 		ended = true;
+		running.delete(child);
 		log.end();
 		return exit;
 	})();
--- a/packages/routing/src/__tests__/createRouter.test.ts
+++ b/packages/routing/src/__tests__/createRouter.test.ts
@@ -356,3 +356,18 @@
 	await timers.settle();
 	expect(sent).toHaveLength(1);
 });
+
+test('no more requests wait than the setting allows', async () => {
+	const {ask, sent, timers} = createTestRouter([endpoint('a', {slots: 1})], {maximumQueued: 2});
+	const running = ask();
+	await timers.settle();
+	const waiting = [ask(), ask()];
+	const refused = await ask();
+	expect(refused).toMatchObject({kind: 'not-run', reason: 'queueFull'});
+	expect(sent).toHaveLength(1);
+	for (const request of [running, ...waiting]) {
+		sent.at(-1)!.answer();
+		await request; // eslint-disable-line no-await-in-loop
+		await timers.settle(); // eslint-disable-line no-await-in-loop
+	}
+});
--- a/packages/routing/src/createRouter.ts
+++ b/packages/routing/src/createRouter.ts
@@ -37,6 +37,8 @@
 	readonly chooseZone?: (service: string, requestClass: RequestClass) => ZoneChoice;
 	/** Asks an endpoint for its load; without it only reports on answers and by `observeReport` are known. */
 	readonly fetchReport?: FetchReport;
+	/** Most requests of one service that wait for a slot. */
+	readonly maximumQueued?: number;
 	/** Timers; those of the process by default. */
 	readonly schedule?: Schedule;
 	/** How slots are divided between entries; `borrowed` by default. */
@@ -73,7 +75,7 @@
  * @returns The router.
  */
 export const createRouter = (options: RouterOptions): Router => {
-	const {clock, random, log, metrics, self, chooseZone = leaveToLocality, fetchReport = async () => undefined, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
+	const {clock, random, log, metrics, self, chooseZone = leaveToLocality, maximumQueued, fetchReport = async () => undefined, schedule = scheduleTimeout, slotDivision = 'borrowed'} = options;
 	const linkCaps = createLinkCaps(clock, self.region);
 	const services = new Map<string, ServiceRouter>();
 	let weights: ReadonlyMap<string, number> = new Map();
@@ -91,6 +93,7 @@
 		linkCaps,
 		division: slotDivision,
 		fetchReport,
+		maximumQueued,
 		chooseZone: requestClass => chooseZone(service, requestClass),
 		weightOf: tenant => weights.get(tenant) ?? defaultWeight,
 		onAttempt(cause) {
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -39,6 +39,8 @@
 	readonly weightOf: (tenant: string) => number;
 	readonly onAttempt: (cause: AttemptCause) => void;
 	readonly fetchReport: FetchReport;
+	/** Most requests that wait for a slot; 512 where absent. */
+	readonly maximumQueued: number | undefined;
 };
 
 /** Room that other entries leave shows only in reports, so a waiting queue looks again. */
@@ -55,10 +57,10 @@
  * @returns The router, which refuses all requests before `configure`.
  */
 export const createServiceRouter = (options: ServiceRouterOptions): ServiceRouter => {
-	const {clock, schedule, self, linkCaps, chooseZone, weightOf, onAttempt, fetchReport, random} = options;
+	const {clock, schedule, self, linkCaps, chooseZone, weightOf, onAttempt, fetchReport, random, maximumQueued} = options;
 	const pool = createEndpointPool(options);
 	const durations = createServiceDurations();
-	const queue = createClassQueue(weightOf);
+	const queue = createClassQueue(weightOf, maximumQueued);
 	const shares = createTenantShares(clock, weightOf);
 	const retryBudget = createAttemptBudget(retryShare);
 	const hedgeBudget = createAttemptBudget(hedgeShare);
