Steering: hold by a smoothed headroom of 30%, resume at 40%

Cause: a hold followed one look a second at a few slots and let the shift creep on. Change: moving mean of the looks; hold below 0.3, resume above 0.4.

--- a/packages/steering/src/zoneHolds.ts
+++ b/packages/steering/src/zoneHolds.ts
@@ -14,12 +14,14 @@
 };
 
 /** A destination below this headroom gains nothing more. */
-const holdHeadroom = 0.15;
+const holdHeadroom = 0.3;
 /** A held destination gains again from this headroom on. */
-const resumeHeadroom = 0.25;
+const resumeHeadroom = 0.4;
 /** A destination whose latency is this many times its usual value gains nothing more. */
 const holdLatencyRatio = 3;
 const resumeLatencyRatio = 1.5;
+/** Weight of the latest of the looks, one a second: a single look sees a few slots at one moment. */
+const headroomWeight = 0.3;
 
 const holdFor = ({headroom, latencyRatio}: ZoneCondition, before: ShiftHold | undefined): ShiftHold | undefined => {
 	if (headroom < (before === 'headroom' ? resumeHeadroom : holdHeadroom)) {
@@ -37,10 +39,18 @@
 export const createZoneHolds = (): ZoneHolds => {
 	const held = new Map<AvailabilityZoneName, ShiftHold>();
 	const failed = new Set<AvailabilityZoneName>();
+	const headrooms = new Map<AvailabilityZoneName, number>();
+
+	const smooth = ({availabilityZone, headroom}: ZoneCondition): number => {
+		const before = headrooms.get(availabilityZone) ?? headroom;
+		const after = before + (headroomWeight * (headroom - before));
+		headrooms.set(availabilityZone, after);
+		return after;
+	};
 
 	const updateHold = (condition: ZoneCondition): void => {
 		const {availabilityZone} = condition;
-		const hold = holdFor(condition, held.get(availabilityZone));
+		const hold = holdFor({...condition, headroom: smooth(condition)}, held.get(availabilityZone));
 		if (hold === undefined) {
 			held.delete(availabilityZone);
 		} else {
