Test the hold by looks once a second

The test gave one look and expected the hold to end by it; holds now follow a moving mean, so one look with room no longer ends them. The new test asks for that as well.

--- a/packages/steering/src/__tests__/createSteering.test.ts
+++ b/packages/steering/src/__tests__/createSteering.test.ts
@@ -128,21 +128,24 @@
 	expect(choices.filter((choice, index) => index % 2 === 1 && choice.kind === 'refused').length).toBeGreaterThan(70);
 });
 
-test('a zone without headroom gains nothing until it has room again', () => {
+test('a zone without headroom gains nothing until it has had room for some looks', () => {
 	const entry = start('south');
 	entry.steering.configure(configuration(1, createIntent()));
 	entry.steering.configure(drainSouth);
-	const observe = (headroom: number) => {
-		entry.steering.observe(['north-a', 'north-b'].map(availabilityZone => ({
-			service: 'browse', availabilityZone, headroom, failed: false, latencyRatio: 1,
-		})));
+	const lookFor = (seconds: number, headroom: number) => {
+		for (let second = 0; second < seconds; second += 1) {
+			entry.steering.observe(['north-a', 'north-b'].map(availabilityZone => ({
+				service: 'browse', availabilityZone, headroom, failed: false, latencyRatio: 1,
+			})));
+			entry.run(1);
+		}
 	};
 
-	observe(0.1);
-	entry.run(10);
+	lookFor(10, 0.1);
 	expect(entry.shareInSouth()).toBeCloseTo(1);
 	expect(entry.steering.progress()[0]).toMatchObject({heldBy: 'headroom'});
-	observe(0.5);
-	entry.run(10);
+	lookFor(1, 0.9);
+	expect(entry.shareInSouth()).toBeCloseTo(1);
+	lookFor(10, 0.5);
 	expect(entry.shareInSouth()).toBeLessThan(0.95);
 });
