--- /dev/null
+++ b/packages/dispatch/src/dispatcher.ts
@@ -0,0 +1,288 @@
+/**
+ * Chooses an endpoint for each request, or refuses it where none can serve it in time.
+ */
+import type {AvailabilityZoneName, RegionName} from '@filbertwell/types/place';
+import type {PlannedService} from '@filbertwell/types/trafficPlan';
+import type {Clock} from '@filbertwell/utils/clock';
+import type {RegisteredEndpoint} from '@filbertwell/discovery/endpointDirectory';
+import {affinityScore} from './affinityOrder.js';
+import {createArrivalMix} from './arrivalMix.js';
+import {createColdAllowance} from './coldAllowance.js';
+import {type CompletionEstimate, estimateCompletion} from './completionEstimate.js';
+import type {DispatchedRequest, DispatchRefusal, EndpointLease} from './dispatchedRequest.js';
+import {createEndpointPool} from './endpointPool.js';
+import {createMovingShares, type MovingShares, type RegionLoad, wantedShares} from './regionShares.js';
+import type {SendResult, TrackedEndpoint} from './trackedEndpoint.js';
+import {createWorkEstimate, type WorkEstimate} from './workEstimate.js';
+
+/** Instances as the dispatcher needs to know them. */
+export type InstanceSummary = {
+	readonly id: string;
+	readonly region: RegionName;
+	readonly requestsPerSecond: number;
+};
+
+/** Parameters of the dispatcher. */
+export type DispatcherOptions = {
+	readonly clock: Clock;
+	readonly self: {readonly id: string; readonly region: RegionName; readonly availabilityZone: AvailabilityZoneName};
+	readonly regionOfZone: () => ReadonlyMap<AvailabilityZoneName, RegionName>;
+	/** All instances that serve, this one included. */
+	readonly instances: () => readonly InstanceSummary[];
+	readonly serviceOf: (name: string) => PlannedService | undefined;
+	/** Largest part of a region's requests that may change their serving region in a second. */
+	readonly largestMovePerSecond: () => number;
+};
+
+/** Chooses endpoints. */
+export type Dispatcher = {
+	readonly configure: (registered: ReadonlyMap<string, RegisteredEndpoint>, evacuated: ReadonlySet<AvailabilityZoneName>) => void;
+	/** Counts a request for a service, before its first send. */
+	readonly recordArrival: (service: string) => void;
+	/** Chooses an endpoint for one send of a request. */
+	readonly acquire: (request: DispatchedRequest) => EndpointLease | DispatchRefusal;
+	readonly find: (endpointId: string) => TrackedEndpoint | undefined;
+	readonly usable: (service: string) => readonly TrackedEndpoint[];
+	readonly discard: (endpointId: string) => void;
+	/** Takes in the time that opening a connection to an endpoint took, in milliseconds. */
+	readonly recordConnect: (zone: AvailabilityZoneName, milliseconds: number) => void;
+	/** Moves the shares between regions; called several times a second. */
+	readonly step: () => void;
+};
+
+/** Round trips until connections have been measured, in milliseconds. */
+const firstSameRegionMs = 2;
+const firstOtherRegionMs = 60;
+const roundTripWeight = 0.2;
+/** Requests waiting at an endpoint for each of its slots from which it gets no more. */
+const largestQueuePerSlot = 1.5;
+/** How likely the first choice of a key is warm while this instance has not sent the key there itself. */
+const firstChoiceWarmth = 0.85;
+const seenWarmth = 0.95;
+/** Work of a service until its first answers, in milliseconds. */
+const assumedWorkMs = 300;
+/** Weight of a new sample in a service's mean work. */
+const meanWorkWeight = 0.04;
+/** When a caller is asked to come back to a service without endpoints: about the time in which they register again. */
+const noEndpointWaitMs = 1000;
+const millisecondsPerSecond = 1000;
+
+type Candidate = {
+	readonly endpoint: TrackedEndpoint;
+	readonly estimate: CompletionEstimate;
+	readonly isWarm: boolean;
+};
+
+/**
+ * Creates a dispatcher without endpoints.
+ *
+ * @param options - Place, peers and plan.
+ * @returns The dispatcher.
+ */
+export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
+	const {clock, self, instances, serviceOf, regionOfZone, largestMovePerSecond} = options;
+	const pool = createEndpointPool(clock, regionOfZone);
+	const cold = createColdAllowance(clock, self.id, () => instances().map(({id}) => id));
+	const roundTrips = new Map<AvailabilityZoneName, number>();
+	const work = new Map<string, WorkEstimate>();
+	const meanWork = new Map<string, number>();
+	const arrivals = createArrivalMix(clock);
+	const shares = new Map<string, MovingShares>();
+
+	const meanWorkOf = (service: string): number => meanWork.get(service) ?? assumedWorkMs;
+
+	const workOf = ({name, latencyTargetMs}: DispatchedRequest['route']): WorkEstimate => {
+		const estimate = work.get(name) ?? createWorkEstimate(latencyTargetMs);
+		work.set(name, estimate);
+		return estimate;
+	};
+
+	const roundTripMs = (zone: AvailabilityZoneName): number => roundTrips.get(zone)
+		?? (pool.regionOf(zone) === self.region ? firstSameRegionMs : firstOtherRegionMs);
+
+	const loadsByRegion = (service: string): RegionLoad[] => {
+		const loads = new Map<RegionName, {demand: number; capacity: number}>();
+		const loadOf = (region: RegionName) => {
+			const load = loads.get(region) ?? {demand: 0, capacity: 0};
+			loads.set(region, load);
+			return load;
+		};
+
+		for (const {region, requestsPerSecond} of instances()) {
+			loadOf(region).demand += requestsPerSecond;
+		}
+
+		for (const endpoint of pool.usable(service)) {
+			loadOf(pool.regionOf(endpoint.registered().endpoint.availabilityZone)).capacity += endpoint.slots() / endpoint.slowdown();
+		}
+
+		// Requests a second of all services become slots of this one; other instances have the same mix.
+		const slotsPerRequest = arrivals.shareOf(service) * meanWorkOf(service) / millisecondsPerSecond;
+		return [...loads].map(([region, {demand, capacity}]) => ({region, demand: demand * slotsPerRequest, capacity}));
+	};
+
+	const stepService = (service: string, moving: MovingShares) => {
+		const loads = loadsByRegion(service);
+		const withCapacity = new Set(loads.filter(({capacity}) => capacity > 0).map(({region}) => region));
+		moving.update(wantedShares(self.region, loads), withCapacity);
+	};
+
+	const sharesOf = (service: string): MovingShares => {
+		let moving = shares.get(service);
+		if (moving === undefined) {
+			moving = createMovingShares(clock, largestMovePerSecond());
+			shares.set(service, moving);
+			stepService(service, moving);
+		}
+
+		return moving;
+	};
+
+	const mayServe = (candidate: TrackedEndpoint, {route, tried}: DispatchedRequest): boolean => {
+		const {id, availabilityZone, service} = candidate.registered().endpoint;
+		const isAllowed = route.allowedRegions.length === 0 || route.allowedRegions.includes(pool.regionOf(availabilityZone));
+		return isAllowed && !tried.has(id) && !candidate.isEjected()
+			&& (!candidate.isCold() || cold.mayTake(id, serviceOf(service)?.coldRequestsPerSecond ?? 1));
+	};
+
+	/** The endpoint that all instances take a key to first. */
+	const firstChoice = (service: string, request: DispatchedRequest, candidates: readonly TrackedEndpoint[]): TrackedEndpoint | undefined => {
+		if (request.affinityKey === undefined || !request.route.isSticky) {
+			return undefined;
+		}
+
+		const current = sharesOf(service).current();
+		const capacity = new Map<RegionName, number>();
+		for (const candidate of candidates) {
+			const region = pool.regionOf(candidate.registered().endpoint.availabilityZone);
+			capacity.set(region, (capacity.get(region) ?? 0) + candidate.slots());
+		}
+
+		const key = `${request.route.name}\u0000${request.affinityKey}`;
+		let best: TrackedEndpoint | undefined;
+		let bestScore = 0;
+		for (const candidate of candidates) {
+			const {id, availabilityZone} = candidate.registered().endpoint;
+			const region = pool.regionOf(availabilityZone);
+			const weight = (current.get(region) ?? 0) * candidate.slots() / capacity.get(region)!;
+			const score = affinityScore(key, {id, weight});
+			if (score > bestScore) {
+				bestScore = score;
+				best = candidate;
+			}
+		}
+
+		return best;
+	};
+
+	const warmthOf = (candidate: TrackedEndpoint, key: string | undefined, isFirst: boolean): number => {
+		if (key !== undefined && candidate.keys.has(key)) {
+			return seenWarmth;
+		}
+
+		return isFirst ? firstChoiceWarmth : 0;
+	};
+
+	const evaluate = (request: DispatchedRequest, candidates: readonly TrackedEndpoint[]): Candidate[] => {
+		const estimate = workOf(request.route);
+		const first = firstChoice(request.service, request, pool.usable(request.service));
+		const key = request.route.isSticky ? request.affinityKey : undefined;
+		return candidates.map(endpoint => {
+			const warmth = warmthOf(endpoint, key, endpoint === first);
+			return {
+				endpoint,
+				isWarm: warmth > 0,
+				estimate: estimateCompletion({
+					endpoint,
+					roundTripMs: roundTripMs(endpoint.registered().endpoint.availabilityZone),
+					warmMs: estimate.warmMs(),
+					coldMs: estimate.coldMs(),
+					warmth,
+					meanWorkMs: meanWorkOf(request.service),
+				}),
+			};
+		});
+	};
+
+	const recordWork = (request: DispatchedRequest, {endpoint, isWarm, estimate}: Candidate, tookMs: number) => {
+		const zone = endpoint.registered().endpoint.availabilityZone;
+		const heldMs = Math.max(1, tookMs - roundTripMs(zone) - estimate.waitMs);
+		const known = meanWork.get(request.service) ?? heldMs;
+		meanWork.set(request.service, known + (meanWorkWeight * (heldMs - known)));
+		if (estimate.waitMs === 0) {
+			workOf(request.route).record(isWarm, heldMs / endpoint.slowdown());
+		}
+
+		return estimate.waitMs === 0 ? heldMs / (estimate.workMs / endpoint.slowdown()) : undefined;
+	};
+
+	const lease = (request: DispatchedRequest, chosen: Candidate): EndpointLease => {
+		const {endpoint, estimate} = chosen;
+		const {endpoint: registered} = endpoint.registered();
+		const flight = endpoint.start(estimate.totalMs);
+		let isEnded = false;
+		if (endpoint.isCold()) {
+			cold.take(registered.id, serviceOf(registered.service)?.coldRequestsPerSecond ?? 1);
+		}
+
+		if (request.affinityKey !== undefined) {
+			endpoint.keys.add(request.affinityKey);
+		}
+
+		return {
+			endpoint: registered,
+			expectedMs: estimate.totalMs,
+			reportLoad: endpoint.reportLoad,
+			end(kind) {
+				if (isEnded) {
+					return;
+				}
+
+				isEnded = true;
+				const result: SendResult = kind === 'answered'
+					? {kind, speedRatio: recordWork(request, chosen, clock() - flight.startedAtMs)}
+					: {kind};
+				endpoint.end(flight, result);
+			},
+		};
+	};
+
+	return {
+		configure: pool.configure,
+		recordArrival: arrivals.record,
+		acquire(request) {
+			const candidates = pool.usable(request.service).filter(candidate => mayServe(candidate, request));
+			const evaluated = evaluate(request, candidates);
+			if (evaluated.length === 0) {
+				return {kind: 'refused', reason: 'noEndpoint', expectedWaitMs: noEndpointWaitMs};
+			}
+
+			const roomy = evaluated.filter(({endpoint}) => endpoint.load() < endpoint.slots() * (1 + largestQueuePerSlot));
+			let best: Candidate | undefined;
+			for (const candidate of roomy) {
+				best = best === undefined || candidate.estimate.cost < best.estimate.cost ? candidate : best;
+			}
+
+			if (best === undefined) {
+				const shortest = Math.min(...evaluated.map(({estimate}) => estimate.waitMs));
+				return {kind: 'refused', reason: 'overloaded', expectedWaitMs: shortest};
+			}
+
+			return clock() + best.estimate.totalMs > request.deadlineAtMs
+				? {kind: 'refused', reason: 'deadlineTooShort', expectedWaitMs: best.estimate.waitMs}
+				: lease(request, best);
+		},
+		find: pool.find,
+		usable: pool.usable,
+		discard: pool.discard,
+		recordConnect(zone, milliseconds) {
+			const known = roundTripMs(zone);
+			roundTrips.set(zone, known + (roundTripWeight * (milliseconds - known)));
+		},
+		step() {
+			for (const [service, moving] of shares) {
+				stepService(service, moving);
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/dispatch/src/endpointPool.ts
@@ -0,0 +1,85 @@
+/**
+ * The endpoints of all services that may get requests.
+ */
+import type {RegisteredEndpoint} from '@filbertwell/discovery/endpointDirectory';
+import type {AvailabilityZoneName, RegionName} from '@filbertwell/types/place';
+import type {Clock} from '@filbertwell/utils/clock';
+import {trackEndpoint, type TrackedEndpoint} from './trackedEndpoint.js';
+
+/** Endpoints by service. */
+export type EndpointPool = {
+	/** Takes in the registrations and the zones that get nothing. */
+	readonly configure: (registered: ReadonlyMap<string, RegisteredEndpoint>, evacuated: ReadonlySet<AvailabilityZoneName>) => void;
+	/** Endpoints of a service that take requests. */
+	readonly usable: (service: string) => readonly TrackedEndpoint[];
+	/** All endpoints that are known, leaving ones included. */
+	readonly find: (endpointId: string) => TrackedEndpoint | undefined;
+	/** Takes an endpoint out until it registers a new start. */
+	readonly discard: (endpointId: string) => void;
+	readonly regionOf: (zone: AvailabilityZoneName) => RegionName;
+};
+
+/**
+ * Creates an empty pool.
+ *
+ * @param clock - Monotonic milliseconds.
+ * @param regionOfZone - Region of each availability zone.
+ * @returns The pool.
+ */
+export const createEndpointPool = (clock: Clock, regionOfZone: () => ReadonlyMap<AvailabilityZoneName, RegionName>): EndpointPool => {
+	const tracked = new Map<string, TrackedEndpoint>();
+	/** Start of each endpoint that was found not to be there any more. */
+	const discarded = new Map<string, number>();
+	let usableByService = new Map<string, TrackedEndpoint[]>();
+	let evacuatedZones: ReadonlySet<AvailabilityZoneName> = new Set();
+
+	const isUsable = (candidate: TrackedEndpoint): boolean => {
+		const {endpoint} = candidate.registered();
+		return endpoint.state === 'ready' && !evacuatedZones.has(endpoint.availabilityZone) && discarded.get(endpoint.id) !== endpoint.startedAtUnixMs;
+	};
+
+	const arrange = () => {
+		usableByService = new Map();
+		for (const candidate of tracked.values()) {
+			if (isUsable(candidate)) {
+				const {service} = candidate.registered().endpoint;
+				const list = usableByService.get(service) ?? [];
+				list.push(candidate);
+				usableByService.set(service, list);
+			}
+		}
+	};
+
+	return {
+		configure(registered, evacuated) {
+			evacuatedZones = evacuated;
+			for (const id of tracked.keys()) {
+				if (!registered.has(id)) {
+					tracked.delete(id);
+					discarded.delete(id);
+				}
+			}
+
+			for (const [id, registration] of registered) {
+				const known = tracked.get(id);
+				if (known?.registered().endpoint.startedAtUnixMs === registration.endpoint.startedAtUnixMs) {
+					known.update(registration);
+				} else {
+					tracked.set(id, trackEndpoint(clock, registration));
+				}
+			}
+
+			arrange();
+		},
+		usable: service => usableByService.get(service) ?? [],
+		find: id => tracked.get(id),
+		discard(id) {
+			const known = tracked.get(id);
+			if (known !== undefined) {
+				discarded.set(id, known.registered().endpoint.startedAtUnixMs);
+				arrange();
+			}
+		},
+		regionOf: zone => regionOfZone().get(zone) ?? zone,
+	};
+};
--- /dev/null
+++ b/packages/dispatch/src/routeTable.ts
@@ -0,0 +1,48 @@
+/**
+ * Finds the route of a request: by host, then by the longest path prefix.
+ */
+import type {PlannedRoute, TrafficPlan} from '@filbertwell/types/trafficPlan';
+
+/** Routes of one plan, arranged for look-up. */
+export type RouteTable = {
+	readonly plan: TrafficPlan;
+	/** Finds a route; `undefined` where none matches. `host` may carry a port, `path` a query. */
+	readonly find: (host: string, path: string) => PlannedRoute | undefined;
+};
+
+const hostName = (host: string): string => host.toLowerCase().replace(/:\d+$/u, '');
+
+/**
+ * Arranges the routes of a plan.
+ *
+ * @param plan - The plan.
+ * @returns Its route table.
+ */
+export const createRouteTable = (plan: TrafficPlan): RouteTable => {
+	const byHost = new Map<string, Map<string, PlannedRoute>>();
+	for (const route of plan.routes) {
+		const routes = byHost.get(route.host) ?? new Map<string, PlannedRoute>();
+		routes.set(route.pathPrefix, route);
+		byHost.set(route.host, routes);
+	}
+
+	return {
+		plan,
+		find(host, path) {
+			const routes = byHost.get(hostName(host));
+			let prefix = path.split('?', 1)[0]!;
+			while (routes !== undefined && prefix !== '') {
+				// Prefixes end with a slash, so only cuts after a slash can match.
+				prefix = prefix.slice(0, prefix.lastIndexOf('/') + 1);
+				const route = routes.get(prefix);
+				if (route !== undefined) {
+					return route;
+				}
+
+				prefix = prefix.slice(0, -1);
+			}
+
+			return undefined;
+		},
+	};
+};
--- a/packages/entry/src/runProgram.ts
+++ b/packages/entry/src/runProgram.ts
@@ -26,6 +26,8 @@
 	readonly name: string;
 	/** What it runs, as `an entry`. */
 	readonly noun: string;
+	/** Environment variable with the path of the settings file, for when the command line names none. */
+	readonly settingsVariable?: string;
 	readonly load: (path: string) => Result<Settings, readonly SettingsError[]>;
 	/** Starts the process; rejects where an address can't be listened on. */
 	readonly start: (settings: Settings, seed: number, stopRequested: AbortSignal) => Promise<Runtime>;
@@ -34,10 +36,10 @@
 const exitCodes = {settings: 78, listen: 69, invariant: 70} as const;
 const maximumSeed = 2 ** 31;
 
-const parseArguments = async (name: string, noun: string) => yargs(hideBin(process.argv))
+const parseArguments = async (name: string, noun: string, settingsVariable: string | undefined) => yargs(hideBin(process.argv))
 	.scriptName(name)
 	.option('settings', {
-		type: 'string', demandOption: true, requiresArg: true, describe: 'Settings file (INI)',
+		type: 'string', demandOption: true, requiresArg: true, describe: 'Settings file (INI)', default: settingsVariable === undefined ? undefined : process.env[settingsVariable],
 	})
 	.option('check-settings', {type: 'boolean', default: false, describe: 'Check the settings and exit'})
 	.example(`$0 --settings ${name}.ini`, `Run ${noun}`)
@@ -82,7 +84,7 @@
  * @param program - What to run.
  */
 export const runProgram = async <Settings extends CommonSettings>(program: Program<Settings>): Promise<void> => {
-	const options = await parseArguments(program.name, program.noun);
+	const options = await parseArguments(program.name, program.noun, program.settingsVariable);
 	const loaded = program.load(options.settings);
 	if (loaded.isErr()) {
 		for (const error of loaded.error) {
--- /dev/null
+++ b/packages/gateway/src/trafficState.ts
@@ -0,0 +1,113 @@
+/**
+ * The plan, the evacuations and the endpoints, followed from the store and from peers.
+ */
+import {createEndpointDirectory, type EndpointDirectory} from '@filbertwell/discovery/endpointDirectory';
+import {followTable} from '@filbertwell/discovery/followTable';
+import {createPlanFollower, type PlanFollower} from '@filbertwell/discovery/planFollower';
+import {createRowReplica, type RowReplica} from '@filbertwell/discovery/rowReplica';
+import type {TableReading} from '@filbertwell/discovery/watchedTable';
+import {createLogger} from '@filbertwell/logger/logger';
+import type {Membership} from '@filbertwell/membership/membership';
+import type {PeerChannel} from '@filbertwell/peer-protocol/peerChannel';
+import type {Clock} from '@filbertwell/utils/clock';
+import type {Random} from '@filbertwell/utils/random';
+import type {GatewayAdapter} from './gatewayAdapter.js';
+
+/** Followed state. */
+export type TrafficState = {
+	readonly plan: PlanFollower['plan'];
+	readonly evacuatedZones: PlanFollower['evacuatedZones'];
+	readonly endpoints: EndpointDirectory['endpoints'];
+	/** Drops endpoints whose registrations lapsed; called several times a second. */
+	readonly step: () => void;
+};
+
+/** Parameters of the followed state. */
+export type TrafficStateOptions = {
+	readonly adapter: GatewayAdapter;
+	readonly membership: Membership;
+	readonly channel: PeerChannel;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly signal: AbortSignal;
+	readonly onChange: () => void;
+};
+
+/** Tables that are followed. */
+export type TableName = 'operators' | 'registrations';
+
+/** Longest wait of one reading: a connection that went silent is noticed within it and the call's slack. */
+const waitMs = 2500;
+/** Operators' rows take effect at once; registrations come in bursts. */
+const operatorPauseMs = 20;
+const registrationPauseMs = 200;
+
+/**
+ * Starts to follow.
+ *
+ * @param options - Platform and peers.
+ * @returns The state, empty at first.
+ */
+export const followTraffic = ({adapter, membership, channel, clock, random, signal, onChange}: TrafficStateOptions): TrafficState => {
+	const log = createLogger('discovery');
+	const follower = createPlanFollower(adapter.decodeOperatorRow, log);
+	const directory = createEndpointDirectory({decode: adapter.decodeEndpoint, clock, log});
+	const replicas: Readonly<Record<TableName, RowReplica>> = {operators: createRowReplica(clock), registrations: createRowReplica(clock)};
+
+	const readFromPeer = async (table: TableName): Promise<TableReading | undefined> => {
+		const self = membership.self();
+		const peers = membership.members().filter(({id, health}) => id !== self.id && health === 'alive');
+		const peer = peers[Math.floor(random() * peers.length)];
+		if (peer === undefined) {
+			return undefined;
+		}
+
+		const answer = await channel.call(peer.peerAddress, 'discovery.rows', {table, newerThan: replicas[table].version() ?? -1});
+		const reading = answer.isOk() ? answer.value.reading : undefined;
+		return reading === undefined ? undefined : {version: reading.version, rows: reading.rows.map(({key, value}) => ({key, value}))};
+	};
+
+	channel.handle('discovery.rows', ({table, newerThan}) => {
+		const contents = replicas[table].contents();
+		return contents === undefined || contents.version <= newerThan
+			? {}
+			: {reading: {version: contents.version, rows: contents.rows.map(({key, value}) => ({key, value: value ?? ''}))}};
+	});
+
+	const common = {random, log, signal, waitMs};
+	void followTable({
+		...common,
+		name: 'operators',
+		table: adapter.operators,
+		replica: replicas.operators,
+		readFromPeer: async () => readFromPeer('operators'),
+		pauseMs: operatorPauseMs,
+		onChange({rows}) {
+			follower.apply(rows);
+			onChange();
+		},
+	});
+	void followTable({
+		...common,
+		name: 'registrations',
+		table: adapter.registrations,
+		replica: replicas.registrations,
+		readFromPeer: async () => readFromPeer('registrations'),
+		pauseMs: registrationPauseMs,
+		onChange(change) {
+			directory.apply(change);
+			onChange();
+		},
+	});
+
+	return {
+		plan: follower.plan,
+		evacuatedZones: follower.evacuatedZones,
+		endpoints: directory.endpoints,
+		step() {
+			if (directory.dropLapsed()) {
+				onChange();
+			}
+		},
+	};
+};
--- a/packages/logger/src/eventCatalogue.ts
+++ b/packages/logger/src/eventCatalogue.ts
@@ -3,7 +3,9 @@
  */
 import type {EventDefinition} from './eventDefinition.js';
 import {configurationEvents} from './events/configurationEvents.js';
+import {discoveryEvents} from './events/discoveryEvents.js';
 import {entryEvents} from './events/entryEvents.js';
+import {gatewayEvents} from './events/gatewayEvents.js';
 import {membershipEvents} from './events/membershipEvents.js';
 import {ordersEvents} from './events/ordersEvents.js';
 import {platformEvents} from './events/platformEvents.js';
@@ -34,6 +36,8 @@
 	{name: 'Orders', first: 7000, events: ordersEvents},
 	{name: 'Entry', first: 8000, events: entryEvents},
 	{name: 'Stand-ins', first: 9000, events: standinsEvents},
+	{name: 'Discovery', first: 10_000, events: discoveryEvents},
+	{name: 'Gateway', first: 11_000, events: gatewayEvents},
 ];
 
 const cell = (text: string) => text.replaceAll('|', String.raw`\|`);
--- /dev/null
+++ b/packages/logger/src/events/gatewayEvents.ts
@@ -0,0 +1,35 @@
+/**
+ * Log events 11000 to 11999: gateway.
+ */
+import {defineEvents} from '../eventDefinition.js';
+
+/** Events of the gateway. */
+export const gatewayEvents = defineEvents({
+	requestRefused: {
+		number: 11_000, name: 'requestRefused', level: 'info', meaning: 'A request was refused as not run; the reason and the expected wait say why.',
+	},
+	requestFailed: {
+		number: 11_001, name: 'requestFailed', level: 'info', meaning: 'A request ended without an endpoint\'s answer after it had been sent.',
+	},
+	requestLate: {
+		number: 11_002, name: 'requestLate', level: 'info', meaning: 'A request was answered later than its latency target, or after more than one attempt.',
+	},
+	attemptFailed: {
+		number: 11_003, name: 'attemptFailed', level: 'info', meaning: 'An attempt at an endpoint gave no usable answer; the outcome says whether it may have run.',
+	},
+	settingsReloaded: {
+		number: 11_004, name: 'settingsReloaded', level: 'info', meaning: 'The settings file was read again.',
+	},
+	settingsRejected: {
+		number: 11_005, name: 'settingsRejected', level: 'error', meaning: 'The changed settings file has errors; the settings from before stay in force.',
+	},
+	endpointEjected: {
+		number: 11_006, name: 'endpointEjected', level: 'warn', meaning: 'An endpoint gets no requests for a while, since those before failed.',
+	},
+	malformedRequest: {
+		number: 11_007, name: 'malformedRequest', level: 'info', meaning: 'A caller sent what is no HTTP request, or sent it too slowly; it was refused before routing.',
+	},
+	listening: {
+		number: 11_008, name: 'listening', level: 'info', meaning: 'The gateway listens on its addresses.',
+	},
+});
--- a/packages/logger/src/logger.ts
+++ b/packages/logger/src/logger.ts
@@ -1,7 +1,11 @@
 /**
- * Structured log lines on `debug`: one JSON object a line, under the namespace `filbertwell:<component>`.
+ * Structured log lines on standard output: one JSON object a line. `debug` selects the components by its
+ * namespaces; the lines themselves go through `sonic-boom`, since `debug` writes synchronously and a reader
+ * that stops would stop the process. Volume is bounded: by event and second, and by the bytes that wait.
  */
 import createDebug from 'debug';
+import {SonicBoom} from 'sonic-boom';
+import {createLineLimit} from './lineLimit.js';
 import type {EventDefinition} from './eventDefinition.js';
 
 /** Value of a field of a log line. */
@@ -13,6 +17,22 @@
 /** Writes one log line for an event. */
 export type Logger = (event: EventDefinition, fields?: Fields) => void;
 
+/** Bytes that may wait for the reader; lines beyond are dropped. */
+const maximumWaitingBytes = 262_144;
+const standardOutput = 1;
+
+let output: SonicBoom | undefined;
+
+const outputOf = (): SonicBoom => {
+	if (output === undefined) {
+		output = new SonicBoom({fd: standardOutput, sync: false, maxLength: maximumWaitingBytes});
+		// A reader that is gone must not end the process; there is nowhere to report it.
+		output.on('error', () => undefined);
+	}
+
+	return output;
+};
+
 /**
  * Creates the logger of a component.
  *
@@ -20,12 +40,18 @@
  * @returns The logger. Lines appear while `DEBUG` or `enableLogs` selects the component.
  */
 export const createLogger = (component: string): Logger => {
-	const write = createDebug(`filbertwell:${component}`);
+	const selection = createDebug(`filbertwell:${component}`);
+	const limit = createLineLimit();
 	return (event, fields = {}) => {
-		if (write.enabled) {
-			write('%s', JSON.stringify({
-				event: event.number, level: event.level, name: event.name, ...fields,
-			}));
+		if (!selection.enabled) {
+			return;
+		}
+
+		const permit = limit(event.number);
+		if (permit.isAllowed) {
+			outputOf().write(`${JSON.stringify({
+				time: new Date().toISOString(), event: event.number, level: event.level, component, name: event.name, ...fields, dropped: permit.dropped > 0 ? permit.dropped : undefined,
+			})}\n`);
 		}
 	};
 };
--- a/packages/peer-protocol/src/methods.ts
+++ b/packages/peer-protocol/src/methods.ts
@@ -52,6 +52,16 @@
 			unchanged: z.boolean(),
 		}).readonly(),
 	},
+	/** The peer's copy of a followed table, if it is newer than a version. */
+	'discovery.rows': { // eslint-disable-line @typescript-eslint/naming-convention -- name on the wire
+		params: z.object({table: z.enum(['operators', 'registrations']), newerThan: z.number().int()}).readonly(),
+		result: z.object({
+			reading: z.object({
+				version: z.number().int().nonnegative(),
+				rows: z.array(z.object({key: z.string(), value: z.string()}).readonly()).readonly(),
+			}).readonly().optional(),
+		}).readonly(),
+	},
 } as const;
 
 /** Name of a method. */
--- a/packages/settings/src/documentedSettings.ts
+++ b/packages/settings/src/documentedSettings.ts
@@ -3,6 +3,7 @@
  */
 import {entrySettingsSchema} from './entrySettings.js';
 import type {DocumentedSettings} from './formatSettingsPage.js';
+import {gatewaySettingsSchema} from './gatewaySettings.js';
 import {lookupSettingsSchema} from './lookupSettings.js';
 import {operatorSettingsSchema} from './operatorSettings.js';
 
@@ -18,6 +19,11 @@
 		introduction: 'As for the entry, without the bounds of the request path.',
 		schema: lookupSettingsSchema,
 	},
+	{
+		program: 'filbertwell-gateway',
+		introduction: 'The instance for endpoints that register themselves. Read at start, on SIGHUP and when the file changes; addresses take effect at a start only.',
+		schema: gatewaySettingsSchema,
+	},
 	{
 		program: 'filbertwell',
 		introduction: '`filbertwell.ini` in the working directory, or another file by `--settings`.',
--- a/packages/settings/src/processSections.ts
+++ b/packages/settings/src/processSections.ts
@@ -71,7 +71,7 @@
 
 /** What is logged. */
 export const logSection = {
-	description: 'What is logged, to standard error.',
+	description: 'What is logged, to standard output.',
 	keys: {
 		namespaces: textSetting({description: 'Components to log, in the syntax of `DEBUG`. Empty: what the environment variable `DEBUG` says.', defaultText: 'filbertwell:*'}),
 	},
--- a/packages/settings/src/setting.ts
+++ b/packages/settings/src/setting.ts
@@ -126,3 +126,44 @@
 	unit: '',
 	description: details.description,
 });
+
+/** One `host:port`. */
+export const addressSetting = (details: SettingDetails): Setting<SocketAddress> => ({
+	schema: z.string()
+		.transform(text => parseSocketAddress(text.trim()))
+		.refine((address): address is SocketAddress => address !== undefined),
+	defaultText: details.defaultText,
+	expected: 'host:port with the host as an IP number, as 10.0.1.5:7000',
+	unit: '',
+	description: details.description,
+});
+
+const pairsOf = (text: string, separator: string): Array<readonly [string, string]> => text.split(',')
+	.map(part => part.trim())
+	.filter(part => part !== '')
+	.map(part => {
+		const index = part.indexOf(separator);
+		return index === -1 ? [part, ''] : [part.slice(0, index).trim(), part.slice(index + 1).trim()];
+	});
+
+/** Names with a name each, as `zone:region`, separated by commas. */
+export const nameMapSetting = (details: SettingDetails): Setting<ReadonlyMap<string, string>> => ({
+	schema: z.string()
+		.transform(text => new Map(pairsOf(text, ':')))
+		.refine(names => names.size > 0 && [...names].every(([key, value]) => namePattern.test(key) && namePattern.test(value))),
+	defaultText: details.defaultText,
+	expected: 'a list of name:name separated by commas, as south-a:south,north-a:north',
+	unit: '',
+	description: details.description,
+});
+
+/** Names with a number each, as `name=2.5`, separated by commas; other values are left out. */
+export const numberMapSetting = (details: SettingDetails): Setting<ReadonlyMap<string, number>> => ({
+	schema: z.string().transform(text => new Map(pairsOf(text, '=')
+		.map(([name, value]) => [name, value === '' ? Number.NaN : Number(value)] as const)
+		.filter(([, value]) => Number.isFinite(value)))),
+	defaultText: details.defaultText,
+	expected: 'a list of name=number separated by commas, as drainSeconds=2.5,retryRatio=0.2',
+	unit: '',
+	description: details.description,
+});
