Warm copies: first and second choice of a key within its region; overflow between regions is bounded

Change: a key has ranked endpoints in one region chosen by moving shares; answers without length are passed on so.

--- a/packages/discovery/src/planFollower.ts
+++ b/packages/discovery/src/planFollower.ts
@@ -43,7 +43,9 @@
 			return;
 		}
 
-		log(discoveryEvents.planInForce, {version: next.version, previous: plan?.version, routes: next.routes.length, services: next.services.size});
+		log(discoveryEvents.planInForce, {
+			version: next.version, previous: plan?.version, routes: next.routes.length, services: next.services.size,
+		});
 		plan = next;
 	};
 
--- a/packages/dispatch/src/dispatchedRequest.ts
+++ b/packages/dispatch/src/dispatchedRequest.ts
@@ -24,6 +24,8 @@
 	readonly endpoint: DiscoveredEndpoint;
 	/** Time to the answer as estimated when the endpoint was chosen, in milliseconds. */
 	readonly expectedMs: number;
+	/** Part of it that is the wait at the endpoint, in milliseconds. */
+	readonly expectedWaitMs: number;
 	readonly reportLoad: (load: EndpointLoad) => void;
 	/** Ends the lease; the first call counts. */
 	readonly end: (result: SendResult['kind']) => void;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -5,13 +5,17 @@
 import type {PlannedService} from '@filbertwell/types/trafficPlan';
 import type {Clock} from '@filbertwell/utils/clock';
 import type {RegisteredEndpoint} from '@filbertwell/discovery/endpointDirectory';
-import {affinityScore} from './affinityOrder.js';
+import type {Random} from '@filbertwell/utils/random';
+import {affinityOrder, affinityScore} from './affinityOrder.js';
 import {createArrivalMix} from './arrivalMix.js';
 import {createColdAllowance} from './coldAllowance.js';
 import {type CompletionEstimate, estimateCompletion} from './completionEstimate.js';
 import type {DispatchedRequest, DispatchRefusal, EndpointLease} from './dispatchedRequest.js';
 import {createEndpointPool} from './endpointPool.js';
-import {createMovingShares, type MovingShares, type RegionLoad, wantedShares} from './regionShares.js';
+import {createOverflowAllowance, type OverflowAllowance} from './overflowAllowance.js';
+import {
+	createMovingShares, type MovingShares, type RegionLoad, wantedShares,
+} from './regionShares.js';
 import type {SendResult, TrackedEndpoint} from './trackedEndpoint.js';
 import {createWorkEstimate, type WorkEstimate} from './workEstimate.js';
 
@@ -30,8 +34,9 @@
 	/** All instances that serve, this one included. */
 	readonly instances: () => readonly InstanceSummary[];
 	readonly serviceOf: (name: string) => PlannedService | undefined;
-	/** Largest part of a region's requests that may change their serving region in a second. */
-	readonly largestMovePerSecond: () => number;
+	/** Largest part of a region's requests that may change their serving region within two seconds. */
+	readonly largestShift: () => number;
+	readonly random: Random;
 };
 
 /** Chooses endpoints. */
@@ -56,9 +61,16 @@
 const roundTripWeight = 0.2;
 /** Requests waiting at an endpoint for each of its slots from which it gets no more. */
 const largestQueuePerSlot = 1.5;
-/** How likely the first choice of a key is warm while this instance has not sent the key there itself. */
-const firstChoiceWarmth = 0.85;
-const seenWarmth = 0.95;
+/** How likely the first, second and third choice of a key are warm for it, whoever sent it there. */
+const rankWarmth = [0.95, 0.6, 0.3] as const;
+/** The same for an endpoint that lately got the key from this instance. */
+const seenWarmth = 0.9;
+/** Likelihood from which an answer's time counts as that of warm work. */
+const warmFrom = 0.85;
+/** Least gain for which a request leaves its region, in milliseconds. */
+const overflowGainMs = 50;
+/** Part of the bound on shifts by which shares move in a second: the bound holds for two. */
+const sharesPart = 0.25;
 /** Work of a service until its first answers, in milliseconds. */
 const assumedWorkMs = 300;
 /** Weight of a new sample in a service's mean work. */
@@ -80,7 +92,7 @@
  * @returns The dispatcher.
  */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
-	const {clock, self, instances, serviceOf, regionOfZone, largestMovePerSecond} = options;
+	const {clock, self, instances, serviceOf, regionOfZone, largestShift, random} = options;
 	const pool = createEndpointPool(clock, regionOfZone);
 	const cold = createColdAllowance(clock, self.id, () => instances().map(({id}) => id));
 	const roundTrips = new Map<AvailabilityZoneName, number>();
@@ -88,6 +100,13 @@
 	const meanWork = new Map<string, number>();
 	const arrivals = createArrivalMix(clock);
 	const shares = new Map<string, MovingShares>();
+	const overflows = new Map<string, OverflowAllowance>();
+
+	const overflowOf = (service: string): OverflowAllowance => {
+		const allowance = overflows.get(service) ?? createOverflowAllowance(clock, largestShift);
+		overflows.set(service, allowance);
+		return allowance;
+	};
 
 	const meanWorkOf = (service: string): number => meanWork.get(service) ?? assumedWorkMs;
 
@@ -130,7 +149,7 @@
 	const sharesOf = (service: string): MovingShares => {
 		let moving = shares.get(service);
 		if (moving === undefined) {
-			moving = createMovingShares(clock, largestMovePerSecond());
+			moving = createMovingShares(clock, largestShift() * sharesPart);
 			shares.set(service, moving);
 			stepService(service, moving);
 		}
@@ -145,53 +164,35 @@
 			&& (!candidate.isCold() || cold.mayTake(id, serviceOf(service)?.coldRequestsPerSecond ?? 1));
 	};
 
-	/** The endpoint that all instances take a key to first. */
-	const firstChoice = (service: string, request: DispatchedRequest, candidates: readonly TrackedEndpoint[]): TrackedEndpoint | undefined => {
-		if (request.affinityKey === undefined || !request.route.isSticky) {
-			return undefined;
-		}
+	/** Regions in the order in which a request should use them: a key keeps its region while the shares stay. */
+	const regionOrder = (request: DispatchedRequest, key: string | undefined): RegionName[] => {
+		const places = [...sharesOf(request.service).current()].map(([region, share]) => ({id: region, weight: share}));
+		return affinityOrder(key ?? String(random()), places);
+	};
 
-		const current = sharesOf(service).current();
-		const capacity = new Map<RegionName, number>();
-		for (const candidate of candidates) {
-			const region = pool.regionOf(candidate.registered().endpoint.availabilityZone);
-			capacity.set(region, (capacity.get(region) ?? 0) + candidate.slots());
+	/** Endpoints that all instances take a key to, first choice first. */
+	const keyOrder = (key: string | undefined, inRegion: readonly TrackedEndpoint[]): readonly TrackedEndpoint[] => {
+		if (key === undefined) {
+			return [];
 		}
 
-		const key = `${request.route.name}\u0000${request.affinityKey}`;
-		let best: TrackedEndpoint | undefined;
-		let bestScore = 0;
-		for (const candidate of candidates) {
-			const {id, availabilityZone} = candidate.registered().endpoint;
-			const region = pool.regionOf(availabilityZone);
-			const weight = (current.get(region) ?? 0) * candidate.slots() / capacity.get(region)!;
-			const score = affinityScore(key, {id, weight});
-			if (score > bestScore) {
-				bestScore = score;
-				best = candidate;
-			}
-		}
-
-		return best;
+		const scored = inRegion.map(endpoint => ({endpoint, score: affinityScore(key, {id: endpoint.registered().endpoint.id, weight: endpoint.slots()})}));
+		return scored.toSorted((a, b) => b.score - a.score).slice(0, rankWarmth.length).map(({endpoint}) => endpoint);
 	};
 
-	const warmthOf = (candidate: TrackedEndpoint, key: string | undefined, isFirst: boolean): number => {
-		if (key !== undefined && candidate.keys.has(key)) {
-			return seenWarmth;
-		}
-
-		return isFirst ? firstChoiceWarmth : 0;
+	const warmthOf = (candidate: TrackedEndpoint, key: string | undefined, order: readonly TrackedEndpoint[]): number => {
+		const rank = order.indexOf(candidate);
+		const assumed = rank === -1 ? 0 : rankWarmth[rank]!;
+		return key !== undefined && candidate.keys.has(key) ? Math.max(seenWarmth, assumed) : assumed;
 	};
 
-	const evaluate = (request: DispatchedRequest, candidates: readonly TrackedEndpoint[]): Candidate[] => {
+	const evaluate = (request: DispatchedRequest, key: string | undefined, candidates: readonly TrackedEndpoint[], order: readonly TrackedEndpoint[]): Candidate[] => {
 		const estimate = workOf(request.route);
-		const first = firstChoice(request.service, request, pool.usable(request.service));
-		const key = request.route.isSticky ? request.affinityKey : undefined;
 		return candidates.map(endpoint => {
-			const warmth = warmthOf(endpoint, key, endpoint === first);
+			const warmth = warmthOf(endpoint, key, order);
 			return {
 				endpoint,
-				isWarm: warmth > 0,
+				isWarm: warmth >= warmFrom,
 				estimate: estimateCompletion({
 					endpoint,
 					roundTripMs: roundTripMs(endpoint.registered().endpoint.availabilityZone),
@@ -204,6 +205,48 @@
 		});
 	};
 
+	/** The candidate with the least cost among those whose queue takes more. */
+	const cheapest = (evaluated: readonly Candidate[]): Candidate | undefined => {
+		let best: Candidate | undefined;
+		for (const candidate of evaluated) {
+			const {endpoint, estimate} = candidate;
+			const hasRoom = endpoint.load() < endpoint.slots() * (1 + largestQueuePerSlot);
+			if (hasRoom && (best === undefined || estimate.cost < best.estimate.cost)) {
+				best = candidate;
+			}
+		}
+
+		return best;
+	};
+
+	const regionOfEndpoint = (endpoint: TrackedEndpoint): RegionName => pool.regionOf(endpoint.registered().endpoint.availabilityZone);
+
+	/** Chooses in the request's region first, and elsewhere where that would be late and there is allowance. */
+	const choose = (request: DispatchedRequest, candidates: readonly TrackedEndpoint[]): {readonly best: Candidate | undefined; readonly evaluated: readonly Candidate[]} => {
+		const key = request.affinityKey === undefined || !request.route.isSticky ? undefined : `${request.route.name}\u0000${request.affinityKey}`;
+		const order = regionOrder(request, key);
+		const region = order.find(name => candidates.some(candidate => regionOfEndpoint(candidate) === name));
+		const usable = pool.usable(request.service);
+		const evaluateRegion = (name: RegionName) => evaluate(
+			request,
+			key,
+			candidates.filter(candidate => regionOfEndpoint(candidate) === name),
+			keyOrder(key, usable.filter(endpoint => regionOfEndpoint(endpoint) === name)),
+		);
+		const inRegion = region === undefined ? evaluate(request, key, candidates, []) : evaluateRegion(region);
+		const best = cheapest(inRegion);
+		const isInTime = best !== undefined && clock() + best.estimate.totalMs <= request.targetAtMs;
+		if (isInTime || region === undefined) {
+			return {best, evaluated: inRegion};
+		}
+
+		const elsewhere = order.filter(name => name !== region).flatMap(name => evaluateRegion(name));
+		const other = cheapest(elsewhere);
+		const isBetter = other !== undefined && (best === undefined || other.estimate.cost + overflowGainMs < best.estimate.cost);
+		const evaluated = [...inRegion, ...elsewhere];
+		return isBetter && overflowOf(request.service).tryTake() ? {best: other, evaluated} : {best, evaluated};
+	};
+
 	const recordWork = (request: DispatchedRequest, {endpoint, isWarm, estimate}: Candidate, tookMs: number) => {
 		const zone = endpoint.registered().endpoint.availabilityZone;
 		const heldMs = Math.max(1, tookMs - roundTripMs(zone) - estimate.waitMs);
@@ -225,13 +268,14 @@
 			cold.take(registered.id, serviceOf(registered.service)?.coldRequestsPerSecond ?? 1);
 		}
 
-		if (request.affinityKey !== undefined) {
-			endpoint.keys.add(request.affinityKey);
+		if (request.affinityKey !== undefined && request.route.isSticky) {
+			endpoint.keys.add(`${request.route.name}\u0000${request.affinityKey}`);
 		}
 
 		return {
 			endpoint: registered,
 			expectedMs: estimate.totalMs,
+			expectedWaitMs: estimate.waitMs,
 			reportLoad: endpoint.reportLoad,
 			end(kind) {
 				if (isEnded) {
@@ -249,20 +293,17 @@
 
 	return {
 		configure: pool.configure,
-		recordArrival: arrivals.record,
+		recordArrival(service) {
+			arrivals.record(service);
+			overflowOf(service).recordRequest();
+		},
 		acquire(request) {
 			const candidates = pool.usable(request.service).filter(candidate => mayServe(candidate, request));
-			const evaluated = evaluate(request, candidates);
-			if (evaluated.length === 0) {
+			if (candidates.length === 0) {
 				return {kind: 'refused', reason: 'noEndpoint', expectedWaitMs: noEndpointWaitMs};
 			}
 
-			const roomy = evaluated.filter(({endpoint}) => endpoint.load() < endpoint.slots() * (1 + largestQueuePerSlot));
-			let best: Candidate | undefined;
-			for (const candidate of roomy) {
-				best = best === undefined || candidate.estimate.cost < best.estimate.cost ? candidate : best;
-			}
-
+			const {best, evaluated} = choose(request, candidates);
 			if (best === undefined) {
 				const shortest = Math.min(...evaluated.map(({estimate}) => estimate.waitMs));
 				return {kind: 'refused', reason: 'overloaded', expectedWaitMs: shortest};
--- a/packages/dispatch/src/regionShares.ts
+++ b/packages/dispatch/src/regionShares.ts
@@ -19,16 +19,24 @@
 /** Use of a region's capacity up to which its requests stay at home, whatever the others' use. */
 const homeUse = 0.6;
 
+/** Use of the capacity that is assumed before there are requests. */
+const assumedUse = 0.7;
+
+/** Before there are requests, all regions are taken to have the same demand. */
+const withAssumedDemand = (loads: readonly RegionLoad[], totalCapacity: number): readonly RegionLoad[] => loads
+	.map(load => ({...load, demand: totalCapacity * assumedUse / loads.length}));
+
 /**
  * Computes the shares that demand and capacity call for.
  *
  * @param own - Region whose requests are divided.
- * @param loads - Demand and capacity of all regions.
+ * @param given - Demand and capacity of all regions.
  * @returns The shares.
  */
-export const wantedShares = (own: RegionName, loads: readonly RegionLoad[]): Shares => {
+export const wantedShares = (own: RegionName, given: readonly RegionLoad[]): Shares => {
+	const totalCapacity = given.reduce((sum, {capacity}) => sum + capacity, 0);
+	const loads = given.some(({demand}) => demand > 0) ? given : withAssumedDemand(given, totalCapacity);
 	const totalDemand = loads.reduce((sum, {demand}) => sum + demand, 0);
-	const totalCapacity = loads.reduce((sum, {capacity}) => sum + capacity, 0);
 	const home = loads.find(({region}) => region === own);
 	if (totalCapacity <= 0) {
 		return new Map();
@@ -67,7 +75,7 @@
  * @returns The shares.
  */
 export const createMovingShares = (clock: Clock, largestMovePerSecond: number): MovingShares => {
-	let current: Map<RegionName, number> = new Map();
+	let current = new Map<RegionName, number>();
 	let updatedAtMs = clock();
 
 	const withoutLost = (regions: ReadonlySet<RegionName>): Map<RegionName, number> => {
--- a/packages/dispatch/src/routeTable.ts
+++ b/packages/dispatch/src/routeTable.ts
@@ -7,7 +7,7 @@
 export type RouteTable = {
 	readonly plan: TrafficPlan;
 	/** Finds a route; `undefined` where none matches. `host` may carry a port, `path` a query. */
-	readonly find: (host: string, path: string) => PlannedRoute | undefined;
+	readonly routeOf: (host: string, path: string) => PlannedRoute | undefined;
 };
 
 const hostName = (host: string): string => host.toLowerCase().replace(/:\d+$/u, '');
@@ -28,10 +28,14 @@
 
 	return {
 		plan,
-		find(host, path) {
+		routeOf(host, path) {
 			const routes = byHost.get(hostName(host));
+			if (routes === undefined) {
+				return undefined;
+			}
+
 			let prefix = path.split('?', 1)[0]!;
-			while (routes !== undefined && prefix !== '') {
+			while (prefix !== '') {
 				// Prefixes end with a slash, so only cuts after a slash can match.
 				prefix = prefix.slice(0, prefix.lastIndexOf('/') + 1);
 				const route = routes.get(prefix);
--- a/packages/dispatch/src/trackedEndpoint.ts
+++ b/packages/dispatch/src/trackedEndpoint.ts
@@ -80,7 +80,7 @@
 	const flights = new Set<Flight>();
 	const keys = createRecentKeys(keptKeys);
 	let registered = first;
-	let coldUntilMs = first.coldUntilMs;
+	let {coldUntilMs} = first;
 	let reportedSlots: number | undefined;
 	let others = 0;
 	let reportedAtMs = 0;
@@ -112,7 +112,7 @@
 
 	const recordSpeed = (ratio: number) => {
 		const bounded = Math.min(Math.max(ratio, smallestSlowdown), largestSlowdown);
-		learnedSlowdown = currentLearned() ** (1 - speedSampleWeight) * (bounded ** speedSampleWeight);
+		learnedSlowdown = (currentLearned() ** (1 - speedSampleWeight)) * (bounded ** speedSampleWeight);
 		learnedAtMs = clock();
 	};
 
--- a/packages/dispatch/src/workEstimate.ts
+++ b/packages/dispatch/src/workEstimate.ts
@@ -14,10 +14,8 @@
 /** First guesses as multiples of the latency target, until answers tell. */
 const firstWarmPart = 0.5;
 const firstColdPart = 1;
-/** Weight of a new sample. */
-const sampleWeight = 0.08;
-/** Longest sample as a multiple of the estimate, so that one straggler does not spoil it. */
-const largestRatio = 3;
+/** Step of the estimate towards a sample, as a part of the estimate. A fixed step follows the median, which stragglers don't move. */
+const step = 0.04;
 
 /**
  * Creates an estimate.
@@ -28,15 +26,15 @@
 export const createWorkEstimate = (latencyTargetMs: number): WorkEstimate => {
 	let warm = latencyTargetMs * firstWarmPart;
 	let cold = latencyTargetMs * firstColdPart;
-	const blend = (estimate: number, sample: number) => estimate + (sampleWeight * (Math.min(sample, estimate * largestRatio) - estimate));
+	const follow = (estimate: number, sample: number) => estimate * (1 + (step * Math.sign(sample - estimate)));
 	return {
 		warmMs: () => Math.min(warm, cold),
 		coldMs: () => cold,
 		record(isWarm, workMs) {
 			if (isWarm) {
-				warm = blend(warm, workMs);
+				warm = follow(warm, workMs);
 			} else {
-				cold = blend(cold, workMs);
+				cold = follow(cold, workMs);
 			}
 		},
 	};
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -60,7 +60,15 @@
 	}
 
 	const headers = endToEndHeaders(answer.rawHeaders, internalHeaders);
-	headers.push('Content-Length', String(answer.body.length));
+	if (answer.endsWithConnection) {
+		// A length would make an answer look whole that may have been cut off.
+		headers.push('Connection', 'close');
+		response.shouldKeepAlive = false;
+		response.useChunkedEncodingByDefault = false;
+	} else {
+		headers.push('Content-Length', String(answer.body.length));
+	}
+
 	response.writeHead(answer.status, answer.statusText, headers);
 	response.end(answer.body);
 };
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -8,7 +8,7 @@
 
 /** How the reading of a body ended. */
 export type BodyReading =
-	| {readonly kind: 'whole'; readonly body: Buffer}
+	| {readonly kind: 'whole'; readonly body: Uint8Array}
 	| {readonly kind: 'tooLarge'}
 	| {readonly kind: 'gone'};
 
@@ -48,9 +48,9 @@
 	}
 
 	return new Promise(resolve => {
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		let bytes = 0;
-		request.on('data', (chunk: Buffer) => {
+		request.on('data', (chunk: Uint8Array) => {
 			bytes += chunk.length;
 			if (bytes > limits.maximumBodyBytes) {
 				request.pause();
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -87,7 +87,7 @@
 			return refused(503, 'no traffic plan is in force yet; the request did not run', {retryAfterSeconds: firstPlanRetryAfterSeconds});
 		}
 
-		const route = tableOf(current).find(request.headers.host ?? '', request.url ?? '/');
+		const route = tableOf(current).routeOf(request.headers.host ?? '', request.url ?? '/');
 		if (route === undefined) {
 			request.resume();
 			return refused(404, `no route matches host "${request.headers.host ?? ''}" and path "${request.url ?? ''}"`);
@@ -133,7 +133,10 @@
 			response.shouldKeepAlive = false;
 		}
 
-		if (result.kind === 'endpoint') {
+		if (result.kind === 'endpoint' && result.answer.endsWithConnection && !open.isAlone()) {
+			// Closing the connection would take the answers of the other requests along.
+			sendOwnAnswer(response, {status: 502, problem: 'the endpoint\'s answer has no length; the request may have run'});
+		} else if (result.kind === 'endpoint') {
 			sendEndpointAnswer(response, result.answer, notReturned);
 		} else if (result.kind === 'own') {
 			sendOwnAnswer(response, result.answer);
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -2,7 +2,9 @@
  * One send of a request to an endpoint, and what its answer says about whether the request ran.
  */
 import {Buffer} from 'node:buffer';
-import {type Agent, type ClientRequest, type IncomingMessage, request as sendRequest} from 'node:http';
+import {
+	type Agent, type ClientRequest, type IncomingMessage, request as sendRequest,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import type {DiscoveredEndpoint, EndpointLoad} from '@filbertwell/types/discoveredEndpoint';
 import type {Clock} from '@filbertwell/utils/clock';
@@ -16,7 +18,7 @@
 	readonly path: string;
 	/** Names and values in turn, without those of one connection. */
 	readonly headers: readonly string[];
-	readonly body: Buffer;
+	readonly body: Uint8Array;
 	readonly requestId: string | undefined;
 };
 
@@ -26,8 +28,10 @@
 	readonly statusText: string;
 	/** Names and values in turn, as received. */
 	readonly rawHeaders: readonly string[];
-	readonly body: Buffer;
+	readonly body: Uint8Array;
 	readonly isStamped: boolean;
+	/** Whether only the end of the connection marks its end: nobody can tell whether it is whole. */
+	readonly endsWithConnection: boolean;
 	readonly load: EndpointLoad | undefined;
 };
 
@@ -65,6 +69,8 @@
 const notRunStatuses = new Set([400, 421, 429, 503]);
 const millisecondsPerSecond = 1000;
 
+const hasBody = (status: number): boolean => status !== 204 && status !== 304;
+
 const headerText = (message: IncomingMessage, name: string): string | undefined => {
 	const value = message.headers[name];
 	return Array.isArray(value) ? value[0] : value;
@@ -103,7 +109,7 @@
 		return headerText(message, 'content-encoding') === undefined ? undefined : 'its body is encoded';
 	};
 
-	const outcomeOf = (message: IncomingMessage, body: Buffer): SendOutcome => {
+	const outcomeOf = (message: IncomingMessage, body: Uint8Array): SendOutcome => {
 		const status = message.statusCode!;
 		const load = loadOf(message);
 		const isNotRun = status === 421 || (headerText(message, headers.notRun) !== undefined && notRunStatuses.has(status));
@@ -121,13 +127,13 @@
 				rawHeaders: message.rawHeaders,
 				body,
 				isStamped: headerText(message, headers.stamp) !== undefined,
+				endsWithConnection: hasBody(status) && message.headers['content-length'] === undefined && message.headers['transfer-encoding'] === undefined,
 				load,
 			},
 		};
 	};
 
 	const exchange = async (socket: Socket, {endpoint, request, remainingMs, signal}: Send): Promise<SendOutcome> => new Promise(resolve => {
-		let outgoing: ClientRequest | undefined;
 		let isSettled = false;
 		let keepAliveMs: number | undefined;
 
@@ -162,9 +168,9 @@
 			}
 
 			keepAliveMs = keepAliveMsOf(message);
-			const chunks: Buffer[] = [];
+			const chunks: Uint8Array[] = [];
 			let bytes = 0;
-			message.on('data', (chunk: Buffer) => {
+			message.on('data', (chunk: Uint8Array) => {
 				chunks.push(chunk);
 				bytes += chunk.length;
 				if (bytes > largestAnswerBytes) {
@@ -196,15 +202,17 @@
 
 		socket.once('free', onFree);
 		signal.addEventListener('abort', onAbort);
-		outgoing = sendRequest({
+		const outgoing = sendRequest({
 			host: endpoint.host,
 			port: endpoint.port,
 			method: request.method,
 			path: request.path,
 			headers: [
 				...request.headers,
-				headers.deadline, String(Math.max(1, Math.floor(remainingMs))),
-				headers.expectedEndpoint, endpoint.id,
+				headers.deadline,
+				String(Math.max(1, Math.floor(remainingMs))),
+				headers.expectedEndpoint,
+				endpoint.id,
 			] as unknown as Record<string, string>,
 			agent: agentOf(socket) as unknown as Agent,
 			maxHeaderSize: largestHeaderBytes,
--- a/packages/gateway/src/forwardRequest.ts
+++ b/packages/gateway/src/forwardRequest.ts
@@ -135,12 +135,23 @@
 			dispatcher.discard(endpoint.id);
 		}
 
-		if (outcome.kind !== 'answered') {
-			log(gatewayEvents.attemptFailed, {
-				request: forwarded.request.requestId, endpoint: endpoint.id, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined, expectedMs: Math.round(lease.expectedMs),
-			});
-		}
-
+		log(gatewayEvents.sendEnded, {
+			request: forwarded.request.requestId,
+			route: forwarded.route.name,
+			service: forwarded.service,
+			endpoint: endpoint.id,
+			zone: endpoint.availabilityZone,
+			key: forwarded.affinityKey,
+			outcome: outcome.kind,
+			status: outcome.kind === 'answered' ? outcome.answer.status : undefined,
+			reason: 'reason' in outcome ? outcome.reason : undefined,
+			tookMs: Math.round(remainingMs - (deadlineAtMs - clock())),
+			expectedMs: Math.round(lease.expectedMs),
+			expectedWaitMs: Math.round(lease.expectedWaitMs),
+			running: load?.running,
+			waiting: load?.waiting,
+			slowdown: load?.slowdown,
+		});
 		return outcome;
 	};
 
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -54,8 +54,6 @@
 /** Time before the end of the grace time at which the process ends in any case. */
 const graceMarginMs = 250;
 const stopCheckMs = 50;
-/** The bound on shifts holds for two seconds; a third of it a second leaves room for requests that overflow. */
-const shiftParts = 3;
 /** Peers are listed in the store; gossip brings the rest. */
 const listIntervalMs = 5000;
 const heartbeatMs = 700;
@@ -111,7 +109,8 @@
 		regionOfZone: () => settings().process.zones,
 		instances: () => aliveEntries().map(({id, region, load}) => ({id, region, requestsPerSecond: load.requestsPerSecond})),
 		serviceOf: name => state.plan()?.services.get(name),
-		largestMovePerSecond: () => bounds().largestShift / shiftParts,
+		largestShift: () => bounds().largestShift,
+		random,
 	});
 	const configure = () => {
 		dispatcher.configure(state.endpoints(), state.evacuatedZones());
@@ -126,7 +125,7 @@
 	};
 
 	const state = followTraffic({
-		adapter, membership, channel, clock, random, signal, onChange: () => {
+		adapter, membership, channel, clock, random, signal, onChange() {
 			configure();
 		},
 	});
--- a/packages/gateway/src/trafficState.ts
+++ b/packages/gateway/src/trafficState.ts
@@ -74,7 +74,9 @@
 			: {reading: {version: contents.version, rows: contents.rows.map(({key, value}) => ({key, value: value ?? ''}))}};
 	});
 
-	const common = {random, log, signal, waitMs};
+	const common = {
+		random, log, signal, waitMs,
+	};
 	void followTable({
 		...common,
 		name: 'operators',
--- a/packages/logger/src/events/gatewayEvents.ts
+++ b/packages/logger/src/events/gatewayEvents.ts
@@ -14,8 +14,8 @@
 	requestLate: {
 		number: 11_002, name: 'requestLate', level: 'info', meaning: 'A request was answered later than its latency target, or after more than one attempt.',
 	},
-	attemptFailed: {
-		number: 11_003, name: 'attemptFailed', level: 'info', meaning: 'An attempt at an endpoint gave no usable answer; the outcome says whether it may have run.',
+	sendEnded: {
+		number: 11_003, name: 'sendEnded', level: 'info', meaning: 'One send of a request to an endpoint ended; the outcome says whether it may have run, the expected times and the load what the choice went by.',
 	},
 	settingsReloaded: {
 		number: 11_004, name: 'settingsReloaded', level: 'info', meaning: 'The settings file was read again.',
