--- a/packages/dispatch/src/dispatchedRequest.ts
+++ b/packages/dispatch/src/dispatchedRequest.ts
@@ -32,7 +32,7 @@
 };
 
 /** Why there is no endpoint for a request. */
-export type RefusalReason = 'noEndpoint' | 'overloaded' | 'deadlineTooShort';
+export type RefusalReason = 'noEndpoint' | 'overloaded';
 
 /** A refusal: the request was not sent. */
 export type DispatchRefusal = {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -9,8 +9,9 @@
 import {affinityOrder, affinityScore} from './affinityOrder.js';
 import {createArrivalMix} from './arrivalMix.js';
 import {createColdAllowance} from './coldAllowance.js';
-import {type CompletionEstimate, estimateCompletion} from './completionEstimate.js';
+import {estimateCompletion} from './completionEstimate.js';
 import type {DispatchedRequest, DispatchRefusal, EndpointLease} from './dispatchedRequest.js';
+import {type Candidate, chooseWithin, roomOf} from './endpointChoice.js';
 import {createEndpointPool} from './endpointPool.js';
 import {createOverflowAllowance, type OverflowAllowance} from './overflowAllowance.js';
 import {
@@ -59,16 +60,12 @@
 const firstSameRegionMs = 2;
 const firstOtherRegionMs = 60;
 const roundTripWeight = 0.2;
-/** Requests waiting at an endpoint for each of its slots from which it gets no more. */
-const largestQueuePerSlot = 1.5;
-/** How likely the first, second and third choice of a key are warm for it, whoever sent it there. */
-const rankWarmth = [0.95, 0.6, 0.3] as const;
+/** How likely the first and second choice of a key are warm for it, whoever sent it there. */
+const copyWarmth = [0.95, 0.55] as const;
 /** The same for an endpoint that lately got the key from this instance. */
-const seenWarmth = 0.9;
+const seenWarmth = 0.85;
 /** Likelihood from which an answer's time counts as that of warm work. */
 const warmFrom = 0.85;
-/** Least gain for which a request leaves its region, in milliseconds. */
-const overflowGainMs = 50;
 /** Part of the bound on shifts by which shares move in a second: the bound holds for two. */
 const sharesPart = 0.25;
 /** Work of a service until its first answers, in milliseconds. */
@@ -79,11 +76,6 @@
 const noEndpointWaitMs = 1000;
 const millisecondsPerSecond = 1000;
 
-type Candidate = {
-	readonly endpoint: TrackedEndpoint;
-	readonly estimate: CompletionEstimate;
-	readonly isWarm: boolean;
-};
 
 /**
  * Creates a dispatcher without endpoints.
@@ -170,28 +162,32 @@
 		return affinityOrder(key ?? String(random()), places);
 	};
 
-	/** Endpoints that all instances take a key to, first choice first. */
-	const keyOrder = (key: string | undefined, inRegion: readonly TrackedEndpoint[]): readonly TrackedEndpoint[] => {
+	const keyOf = ({route, affinityKey}: DispatchedRequest): string | undefined => affinityKey === undefined || !route.isSticky ? undefined : `${route.name}\u0000${affinityKey}`;
+
+	/** Endpoints that keep a key warm, first choice first: all instances take the key there. */
+	const copiesOf = (key: string | undefined, inRegion: readonly TrackedEndpoint[]): readonly TrackedEndpoint[] => {
 		if (key === undefined) {
 			return [];
 		}
 
 		const scored = inRegion.map(endpoint => ({endpoint, score: affinityScore(key, {id: endpoint.registered().endpoint.id, weight: endpoint.slots()})}));
-		return scored.toSorted((a, b) => b.score - a.score).slice(0, rankWarmth.length).map(({endpoint}) => endpoint);
+		return scored.toSorted((a, b) => b.score - a.score).slice(0, copyWarmth.length).map(({endpoint}) => endpoint);
 	};
 
-	const warmthOf = (candidate: TrackedEndpoint, key: string | undefined, order: readonly TrackedEndpoint[]): number => {
-		const rank = order.indexOf(candidate);
-		const assumed = rank === -1 ? 0 : rankWarmth[rank]!;
+	const warmthOf = (candidate: TrackedEndpoint, key: string | undefined, copies: readonly TrackedEndpoint[]): number => {
+		const rank = copies.indexOf(candidate);
+		const assumed = rank === -1 ? 0 : copyWarmth[rank]!;
 		return key !== undefined && candidate.keys.has(key) ? Math.max(seenWarmth, assumed) : assumed;
 	};
 
-	const evaluate = (request: DispatchedRequest, key: string | undefined, candidates: readonly TrackedEndpoint[], order: readonly TrackedEndpoint[]): Candidate[] => {
+	const evaluate = (request: DispatchedRequest, key: string | undefined, candidates: readonly TrackedEndpoint[]): Candidate[] => {
 		const estimate = workOf(request.route);
+		const copies = copiesOf(key, candidates);
 		return candidates.map(endpoint => {
-			const warmth = warmthOf(endpoint, key, order);
+			const warmth = warmthOf(endpoint, key, copies);
 			return {
 				endpoint,
+				isCopy: key === undefined || copies.includes(endpoint),
 				isWarm: warmth >= warmFrom,
 				estimate: estimateCompletion({
 					endpoint,
@@ -205,46 +201,23 @@
 		});
 	};
 
-	/** The candidate with the least cost among those whose queue takes more. */
-	const cheapest = (evaluated: readonly Candidate[]): Candidate | undefined => {
-		let best: Candidate | undefined;
-		for (const candidate of evaluated) {
-			const {endpoint, estimate} = candidate;
-			const hasRoom = endpoint.load() < endpoint.slots() * (1 + largestQueuePerSlot);
-			if (hasRoom && (best === undefined || estimate.cost < best.estimate.cost)) {
-				best = candidate;
-			}
-		}
-
-		return best;
-	};
-
 	const regionOfEndpoint = (endpoint: TrackedEndpoint): RegionName => pool.regionOf(endpoint.registered().endpoint.availabilityZone);
 
-	/** Chooses in the request's region first, and elsewhere where that would be late and there is allowance. */
+	/** Chooses in the request's region first, and elsewhere where that is full and there is allowance. */
 	const choose = (request: DispatchedRequest, candidates: readonly TrackedEndpoint[]): {readonly best: Candidate | undefined; readonly evaluated: readonly Candidate[]} => {
-		const key = request.affinityKey === undefined || !request.route.isSticky ? undefined : `${request.route.name}\u0000${request.affinityKey}`;
+		const key = keyOf(request);
 		const order = regionOrder(request, key);
 		const region = order.find(name => candidates.some(candidate => regionOfEndpoint(candidate) === name));
-		const usable = pool.usable(request.service);
-		const evaluateRegion = (name: RegionName) => evaluate(
-			request,
-			key,
-			candidates.filter(candidate => regionOfEndpoint(candidate) === name),
-			keyOrder(key, usable.filter(endpoint => regionOfEndpoint(endpoint) === name)),
-		);
-		const inRegion = region === undefined ? evaluate(request, key, candidates, []) : evaluateRegion(region);
-		const best = cheapest(inRegion);
-		const isInTime = best !== undefined && clock() + best.estimate.totalMs <= request.targetAtMs;
-		if (isInTime || region === undefined) {
-			return {best, evaluated: inRegion};
+		const inRegion = evaluate(request, key, region === undefined ? candidates : candidates.filter(candidate => regionOfEndpoint(candidate) === region));
+		const room = roomOf(request, clock());
+		const near = chooseWithin(inRegion, room);
+		if (near !== undefined || region === undefined) {
+			return {best: near, evaluated: inRegion};
 		}
 
-		const elsewhere = order.filter(name => name !== region).flatMap(name => evaluateRegion(name));
-		const other = cheapest(elsewhere);
-		const isBetter = other !== undefined && (best === undefined || other.estimate.cost + overflowGainMs < best.estimate.cost);
-		const evaluated = [...inRegion, ...elsewhere];
-		return isBetter && overflowOf(request.service).tryTake() ? {best: other, evaluated} : {best, evaluated};
+		const elsewhere = order.filter(name => name !== region).flatMap(name => evaluate(request, key, candidates.filter(candidate => regionOfEndpoint(candidate) === name)));
+		const far = chooseWithin(elsewhere, {...room, largestWaitMs: 0});
+		return {best: far !== undefined && overflowOf(request.service).tryTake() ? far : undefined, evaluated: [...inRegion, ...elsewhere]};
 	};
 
 	const recordWork = (request: DispatchedRequest, {endpoint, isWarm, estimate}: Candidate, tookMs: number) => {
@@ -304,13 +277,8 @@
 			}
 
 			const {best, evaluated} = choose(request, candidates);
-			if (best === undefined) {
-				const shortest = Math.min(...evaluated.map(({estimate}) => estimate.waitMs));
-				return {kind: 'refused', reason: 'overloaded', expectedWaitMs: shortest};
-			}
-
-			return clock() + best.estimate.totalMs > request.deadlineAtMs
-				? {kind: 'refused', reason: 'deadlineTooShort', expectedWaitMs: best.estimate.waitMs}
+			return best === undefined
+				? {kind: 'refused', reason: 'overloaded', expectedWaitMs: Math.min(...evaluated.map(({estimate}) => estimate.waitMs))}
 				: lease(request, best);
 		},
 		find: pool.find,
--- a/packages/dispatch/src/workEstimate.ts
+++ b/packages/dispatch/src/workEstimate.ts
@@ -11,11 +11,14 @@
 	readonly record: (isWarm: boolean, workMs: number) => void;
 };
 
-/** First guesses as multiples of the latency target, until answers tell. */
-const firstWarmPart = 0.5;
-const firstColdPart = 1;
+/** First guesses as multiples of the latency target: low, since a route that is refused for its guess never shows its work. */
+const firstWarmPart = 0.2;
+const firstColdPart = 0.5;
 /** Step of the estimate towards a sample, as a part of the estimate. A fixed step follows the median, which stragglers don't move. */
 const step = 0.04;
+/** Samples during which the estimate moves faster. */
+const firstSamples = 30;
+const firstStep = 0.15;
 
 /**
  * Creates an estimate.
@@ -26,15 +29,19 @@
 export const createWorkEstimate = (latencyTargetMs: number): WorkEstimate => {
 	let warm = latencyTargetMs * firstWarmPart;
 	let cold = latencyTargetMs * firstColdPart;
-	const follow = (estimate: number, sample: number) => estimate * (1 + (step * Math.sign(sample - estimate)));
+	let warmSamples = 0;
+	let coldSamples = 0;
+	const follow = (estimate: number, sample: number, samples: number) => estimate * (1 + ((samples < firstSamples ? firstStep : step) * Math.sign(sample - estimate)));
 	return {
 		warmMs: () => Math.min(warm, cold),
 		coldMs: () => cold,
 		record(isWarm, workMs) {
 			if (isWarm) {
-				warm = follow(warm, workMs);
+				warm = follow(warm, workMs, warmSamples);
+				warmSamples += 1;
 			} else {
-				cold = follow(cold, workMs);
+				cold = follow(cold, workMs, coldSamples);
+				coldSamples += 1;
 			}
 		},
 	};
