--- /dev/null
+++ b/packages/discovery/src/__tests__/followTable.test.ts
@@ -0,0 +1,107 @@
+import type {PlatformError} from '@filbertwell/platform/platformError';
+import {silentLogger} from '@filbertwell/logger/logger';
+import {monotonicClock} from '@filbertwell/utils/clock';
+import {createRandom} from '@filbertwell/utils/random';
+import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {describe, expect, test, vi} from 'vitest';
+import {followTable} from '../followTable.js';
+import {createRowReplica} from '../rowReplica.js';
+import type {TableReading, WatchedRow, WatchedTable} from '../watchedTable.js';
+
+const unavailable: PlatformError = {kind: 'unavailable', operation: 'rows.feed', detail: 'status 503'};
+
+type Step = TableReading | 'expired' | 'unavailable';
+
+/** A table that answers step by step, and then no more. */
+const scriptedTable = (all: ReadonlyArray<Exclude<Step, 'expired'>>, changes: readonly Step[]): WatchedTable => {
+	const allSteps = [...all];
+	const changeSteps = [...changes];
+	const last = errAsync(unavailable);
+	return {
+		readAll() {
+			const step = allSteps.shift();
+			return step === undefined || step === 'unavailable' ? last : okAsync(step);
+		},
+		readChanges(): ResultAsync<TableReading | undefined, PlatformError> {
+			const step = changeSteps.shift();
+			if (step === undefined || step === 'unavailable') {
+				return last;
+			}
+
+			return okAsync(step === 'expired' ? undefined : step);
+		},
+	};
+};
+
+const follow = (table: WatchedTable, readFromPeer: () => Promise<TableReading | undefined> = async () => undefined) => {
+	const seen: WatchedRow[] = [];
+	const stopping = new AbortController();
+	const replica = createRowReplica(monotonicClock);
+	const done = followTable({
+		name: 'registrations',
+		table,
+		replica,
+		readFromPeer,
+		onChange({rows}) {
+			seen.push(...rows);
+		},
+		random: createRandom(3),
+		log: silentLogger,
+		signal: stopping.signal,
+		waitMs: 0,
+		pauseMs: 1,
+	});
+	const stop = async () => {
+		stopping.abort();
+		await done;
+	};
+
+	return {seen, replica, stop};
+};
+
+describe('a followed table', () => {
+	test('gives all rows, then the changes, then the rows that are missing after its history was lost', async () => {
+		const {seen, stop} = follow(scriptedTable(
+			[{rows: [{key: 'a', value: '1'}, {key: 'b', value: '1'}], version: 5}, {rows: [{key: 'a', value: '2'}], version: 9}],
+			[{rows: [{key: 'a', value: '2'}], version: 6}, 'expired'],
+		));
+		await vi.waitFor(() => {
+			expect(seen).toHaveLength(4);
+		});
+		await stop();
+		expect(seen).toEqual([{key: 'a', value: '1'}, {key: 'b', value: '1'}, {key: 'a', value: '2'}, {key: 'b', value: undefined}]);
+	});
+
+	test('goes on after calls that fail', async () => {
+		const {seen, stop} = follow(scriptedTable(['unavailable', {rows: [{key: 'a', value: '1'}], version: 5}], ['unavailable', {rows: [{key: 'a', value: '2'}], version: 6}]));
+		await vi.waitFor(() => {
+			expect(seen).toEqual([{key: 'a', value: '1'}, {key: 'a', value: '2'}]);
+		}, {timeout: 10_000});
+		await stop();
+	});
+
+	test('is read from a peer while the store turns this instance away', async () => {
+		const {seen, replica, stop} = follow(scriptedTable([], []), async () => ({rows: [{key: 'a', value: '7'}], version: 7}));
+		await vi.waitFor(() => {
+			expect(seen).toEqual([{key: 'a', value: '7'}]);
+		}, {timeout: 10_000});
+		await stop();
+		expect(replica.version()).toBe(7);
+	});
+});
+
+describe('a copy of a table', () => {
+	test('never goes back to an older version', () => {
+		const replica = createRowReplica(monotonicClock);
+		replica.replace({rows: [{key: 'a', value: 'new'}], version: 8});
+		expect(replica.replace({rows: [{key: 'a', value: 'old'}], version: 7})).toBeUndefined();
+		expect(replica.update({rows: [{key: 'a', value: 'old'}], version: 7})).toBeUndefined();
+		expect(replica.contents()).toEqual({rows: [{key: 'a', value: 'new'}], version: 8});
+	});
+
+	test('tells nothing of rows that did not change', () => {
+		const replica = createRowReplica(monotonicClock);
+		replica.replace({rows: [{key: 'a', value: '1'}], version: 1});
+		expect(replica.update({rows: [{key: 'a', value: '1'}], version: 2})?.rows).toEqual([]);
+	});
+});
--- /dev/null
+++ b/packages/discovery/src/__tests__/planFollower.test.ts
@@ -0,0 +1,51 @@
+import {silentLogger} from '@filbertwell/logger/logger';
+import type {TrafficPlan} from '@filbertwell/types/trafficPlan';
+import {err, ok} from 'neverthrow';
+import {describe, expect, test} from 'vitest';
+import {createPlanFollower, type DecodeOperatorRow} from '../planFollower.js';
+
+const plan = (version: number): TrafficPlan => ({
+	version,
+	routes: [],
+	services: new Map(),
+	limits: {
+		maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	},
+});
+
+const decode: DecodeOperatorRow = ({key, value}) => {
+	if (key.startsWith('zone/')) {
+		return ok({kind: 'evacuation', availabilityZone: key.slice('zone/'.length)});
+	}
+
+	const version = Number(value);
+	return Number.isNaN(version) ? err('no plan') : ok({kind: 'plan', plan: plan(version)});
+};
+
+describe('the plan in force', () => {
+	test('is none before the first', () => {
+		expect(createPlanFollower(decode, silentLogger).plan()).toBeUndefined();
+	});
+
+	test('never falls to an older version', () => {
+		const follower = createPlanFollower(decode, silentLogger);
+		follower.apply([{key: 'plan', value: '12'}, {key: 'plan', value: '7'}]);
+		expect(follower.plan()?.version).toBe(12);
+	});
+
+	test('stays when a row can\'t be read', () => {
+		const follower = createPlanFollower(decode, silentLogger);
+		follower.apply([{key: 'plan', value: '12'}, {key: 'plan', value: 'spoiled'}]);
+		expect(follower.plan()?.version).toBe(12);
+	});
+});
+
+describe('an evacuation', () => {
+	test('begins with its row and ends with the row\'s removal', () => {
+		const follower = createPlanFollower(decode, silentLogger);
+		follower.apply([{key: 'zone/south-a', value: '{}'}]);
+		expect([...follower.evacuatedZones()]).toEqual(['south-a']);
+		follower.apply([{key: 'zone/south-a', value: undefined}]);
+		expect([...follower.evacuatedZones()]).toEqual([]);
+	});
+});
--- /dev/null
+++ b/packages/dispatch/src/__tests__/fullService.test.ts
@@ -0,0 +1,148 @@
+/**
+ * A service at high load whose endpoints remember few keys: 14 endpoints of 4 slots that keep the last 16
+ * keys warm, 72 keys, several instances that see each other's work only by reports. Simulated in steps,
+ * without a network.
+ */
+import {createManualClock} from '@filbertwell/utils/clock';
+import {createRandom} from '@filbertwell/utils/random';
+import {describe, expect, test} from 'vitest';
+import type {EndpointLease} from '../dispatchedRequest.js';
+import {createDispatcher, type Dispatcher} from '../dispatcher.js';
+import {createRecentKeys} from '../recentKeys.js';
+import {registeredById, sampleEndpoint, sampleRoute} from './dispatchFixture.js';
+
+const warmMs = 225;
+const coldMs = 750;
+const keysInMemory = 16;
+const keyCount = 72;
+const instanceCount = 8;
+const endpointCount = 14;
+const stepMs = 5;
+
+type Run = {
+	readonly lease: EndpointLease;
+	readonly arrivedAtMs: number;
+	readonly key: string;
+	endsAtMs: number;
+	isCold: boolean;
+};
+
+const simulate = (requestsPerSecond: number, seconds: number) => {
+	const clock = createManualClock();
+	const random = createRandom(11);
+	const ids = Array.from({length: instanceCount}, (_, index) => `instance-${index}`);
+	const endpoints = Array.from({length: endpointCount}, (_, index) => sampleEndpoint(`endpoint-${index}`));
+	const dispatchers: Dispatcher[] = ids.map(id => {
+		const dispatcher = createDispatcher({
+			clock: clock.now,
+			self: {id, region: 'south', availabilityZone: 'south-a'},
+			regionOfZone: () => new Map([['south-a', 'south']]),
+			instances: () => ids.map(other => ({id: other, region: 'south', requestsPerSecond: requestsPerSecond / instanceCount})),
+			serviceOf: () => undefined,
+			largestShift: () => 0.15,
+			random,
+		});
+		dispatcher.configure(registeredById(endpoints), new Set());
+		return dispatcher;
+	});
+	const memory = new Map(endpoints.map(({id}) => [id, createRecentKeys(keysInMemory)]));
+	const running = new Map<string, Run[]>(endpoints.map(({id}) => [id, []]));
+	const waiting = new Map<string, Run[]>(endpoints.map(({id}) => [id, []]));
+	let arrivals = 0;
+	let due = 0;
+	let inTime = 0;
+	let cold = 0;
+	let started = 0;
+	let refused = 0;
+	let late = 0;
+
+	const startNext = (id: string) => {
+		const atWork = running.get(id)!;
+		const queue = waiting.get(id)!;
+		while (atWork.length < 4 && queue.length > 0) {
+			const run = queue.shift()!;
+			run.isCold = !memory.get(id)!.has(run.key);
+			memory.get(id)!.add(run.key);
+			run.endsAtMs = clock.now() + (run.isCold ? coldMs : warmMs);
+			atWork.push(run);
+			started += 1;
+			cold += run.isCold ? 1 : 0;
+		}
+	};
+
+	const finish = (id: string) => {
+		const atWork = running.get(id)!;
+		for (const run of atWork.filter(({endsAtMs}) => endsAtMs <= clock.now())) {
+			atWork.splice(atWork.indexOf(run), 1);
+			run.lease.end('answered');
+			run.lease.reportLoad({running: atWork.length, waiting: waiting.get(id)!.length, slots: 4, slowdown: 1});
+			if (clock.now() > 5000) {
+				const isInTime = clock.now() - run.arrivedAtMs <= sampleRoute.latencyTargetMs;
+				inTime += isInTime ? 1 : 0;
+				late += isInTime ? 0 : 1;
+			}
+		}
+	};
+
+	const arrive = () => {
+		const key = `key-${Math.floor(random() * keyCount)}`;
+		const dispatcher = dispatchers[Math.floor(random() * instanceCount)]!;
+		dispatcher.recordArrival('inventory');
+		const acquired = dispatcher.acquire({
+			route: sampleRoute, service: 'inventory', affinityKey: key, targetAtMs: clock.now() + 600, deadlineAtMs: clock.now() + 1200, tried: new Set(),
+		});
+		arrivals += clock.now() > 5000 ? 1 : 0;
+		if ('kind' in acquired) {
+			refused += clock.now() > 5000 ? 1 : 0;
+			return;
+		}
+
+		waiting.get(acquired.endpoint.id)!.push({
+			lease: acquired, arrivedAtMs: clock.now(), key, endsAtMs: 0, isCold: false,
+		});
+	};
+
+	while (clock.now() < seconds * 1000) {
+		for (const {id} of endpoints) {
+			finish(id);
+		}
+
+		due += requestsPerSecond * stepMs / 1000;
+		while (random() < due) {
+			due -= 1;
+			arrive();
+		}
+
+		for (const {id} of endpoints) {
+			startNext(id);
+		}
+
+		clock.advance(stepMs);
+	}
+
+	return {
+		inTime: inTime / arrivals, cold: cold / started, refused: refused / arrivals, late: late / arrivals,
+	};
+};
+
+describe('a service at high load whose endpoints remember few keys', () => {
+	test('keeps keys at their warm endpoints while all is calm', () => {
+		const {inTime, cold, refused} = simulate(40, 30);
+		expect(cold).toBeLessThan(0.2);
+		expect(inTime).toBeGreaterThan(0.8);
+		expect(refused).toBe(0);
+	});
+
+	test('does not fill its slots with cold runs at 60% of its warm capacity', () => {
+		const {inTime, cold} = simulate(150, 30);
+		expect(cold).toBeLessThan(0.2);
+		expect(inTime).toBeGreaterThan(0.75);
+	});
+
+	test('refuses what does not fit and serves the rest in time at 1.4 times its warm capacity', () => {
+		const {inTime, late, refused} = simulate(350, 30);
+		expect(inTime).toBeGreaterThan(0.35);
+		expect(refused).toBeGreaterThan(0.1);
+		expect(late).toBeLessThan(0.3);
+	});
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
 	test: {
-		include: ['packages/*/src/**/__tests__/**/*.test.ts', 'examples/*/src/**/__tests__/**/*.test.ts'],
+		include: ['packages/*/src/**/__tests__/**/*.test.ts', 'platform/src/**/__tests__/**/*.test.ts', 'examples/*/src/**/__tests__/**/*.test.ts'],
 		testTimeout: 30_000,
 		hookTimeout: 30_000,
 		pool: 'forks',
