--- a/packages/discovery/src/__tests__/endpointDirectory.test.ts
+++ b/packages/discovery/src/__tests__/endpointDirectory.test.ts
@@ -15,6 +15,7 @@
 	const log: Logger = (event, fields) => {
 		events.push(`${event.name} ${String(fields?.endpoint ?? fields?.key ?? '')}`);
 	};
+
 	const directory = createEndpointDirectory({
 		clock: clock.now, log, decode: (_, value) => value === 'forged' ? err('no JSON') : ok(JSON.parse(value) as DiscoveredEndpoint),
 	});
@@ -26,7 +27,9 @@
 		directory.apply({rows: ids.map(key => ({key, value: undefined})), staleForMs});
 	};
 
-	return {clock, directory, events, put, remove, ids: () => [...directory.endpoints().keys()].toSorted()};
+	return {
+		clock, directory, events, put, remove, ids: () => [...directory.endpoints().keys()].toSorted(),
+	};
 };
 
 describe('registrations', () => {
--- a/packages/discovery/src/__tests__/followTable.test.ts
+++ b/packages/discovery/src/__tests__/followTable.test.ts
@@ -3,7 +3,9 @@
 import {monotonicClock} from '@filbertwell/utils/clock';
 import {createRandom} from '@filbertwell/utils/random';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
-import {describe, expect, test, vi} from 'vitest';
+import {
+	describe, expect, test, vi,
+} from 'vitest';
 import {followTable} from '../followTable.js';
 import {createRowReplica} from '../rowReplica.js';
 import type {TableReading, WatchedRow, WatchedTable} from '../watchedTable.js';
--- a/packages/dispatch/src/__tests__/fullService.test.ts
+++ b/packages/dispatch/src/__tests__/fullService.test.ts
@@ -75,7 +75,9 @@
 		for (const run of atWork.filter(({endsAtMs}) => endsAtMs <= clock.now())) {
 			atWork.splice(atWork.indexOf(run), 1);
 			run.lease.end('answered');
-			run.lease.reportLoad({running: atWork.length, waiting: waiting.get(id)!.length, slots: 4, slowdown: 1});
+			run.lease.reportLoad({
+				running: atWork.length, waiting: waiting.get(id)!.length, slots: 4, slowdown: 1,
+			});
 			if (clock.now() > 5000) {
 				const isInTime = clock.now() - run.arrivedAtMs <= sampleRoute.latencyTargetMs;
 				inTime += isInTime ? 1 : 0;
--- a/packages/dispatch/src/__tests__/routing.test.ts
+++ b/packages/dispatch/src/__tests__/routing.test.ts
@@ -19,7 +19,9 @@
 		{...sampleRoute, name: 'all', pathPrefix: '/'},
 		{...sampleRoute, name: 'stock', pathPrefix: '/stock/'},
 		{...sampleRoute, name: 'deep', pathPrefix: '/stock/deep/'},
-		{...sampleRoute, name: 'other', host: 'other.example', pathPrefix: '/stock/'},
+		{
+			...sampleRoute, name: 'other', host: 'other.example', pathPrefix: '/stock/',
+		},
 	]));
 
 	test.each([
--- a/packages/dispatch/src/__tests__/trackedEndpoint.test.ts
+++ b/packages/dispatch/src/__tests__/trackedEndpoint.test.ts
@@ -12,7 +12,9 @@
 	test('counts own requests and what others have there by the last report', () => {
 		const {clock, endpoint} = tracked();
 		endpoint.start(100);
-		endpoint.reportLoad({running: 4, waiting: 2, slots: 4, slowdown: 1});
+		endpoint.reportLoad({
+			running: 4, waiting: 2, slots: 4, slowdown: 1,
+		});
 		expect(endpoint.load()).toBe(6);
 		clock.advance(1500);
 		expect(endpoint.load()).toBeCloseTo(1 + 2.5, 6);
@@ -24,7 +26,9 @@
 			endpoint.start(100);
 		}
 
-		endpoint.reportLoad({running: 0, waiting: 0, slots: 4, slowdown: 1});
+		endpoint.reportLoad({
+			running: 0, waiting: 0, slots: 4, slowdown: 1,
+		});
 		expect(endpoint.load()).toBe(3);
 	});
 });
@@ -43,7 +47,9 @@
 
 	test('is known at once by its report, for a moment', () => {
 		const {clock, endpoint} = tracked();
-		endpoint.reportLoad({running: 0, waiting: 0, slots: 4, slowdown: 2.5});
+		endpoint.reportLoad({
+			running: 0, waiting: 0, slots: 4, slowdown: 2.5,
+		});
 		expect(endpoint.slowdown()).toBeCloseTo(2.5, 6);
 		clock.advance(2000);
 		expect(endpoint.slowdown()).toBeLessThan(1.05);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -76,7 +76,6 @@
 const noEndpointWaitMs = 1000;
 const millisecondsPerSecond = 1000;
 
-
 /**
  * Creates a dispatcher without endpoints.
  *
--- a/xo.config.js
+++ b/xo.config.js
@@ -12,6 +12,11 @@
 			'n/no-extraneous-import': 'off',
 		},
 	},
+	{
+		// The names on the wire are the platform's.
+		files: ['platform/**/*.ts'],
+		rules: {'@typescript-eslint/naming-convention': 'off'},
+	},
 	{
 		// Tests are outside the build's project references; they have a project of their own.
 		files: ['vitest.config.ts', '**/__tests__/**/*.ts'],
