Stragglers no longer make their endpoint look slow or overdue

Change: one speed sample counts twice the usual at most; any answer shows life; a silence among answers is no failure.

--- a/packages/dispatch/src/trackedEndpoint.ts
+++ b/packages/dispatch/src/trackedEndpoint.ts
@@ -66,8 +66,9 @@
 const longestEjectionMs = 5000;
 /** Multiple of the expected time from which a request counts as overdue. */
 const overdueAfter = 2.5;
-const smallestSlowdown = 0.5;
-const largestSlowdown = 12;
+/** Bounds of one sample, so that a straggler does not make its endpoint look slow. */
+const smallestSample = 0.6;
+const largestSample = 2;
 
 /**
  * Starts to track an endpoint.
@@ -111,7 +112,7 @@
 	const currentLearned = () => 1 + ((learnedSlowdown - 1) * halved(clock() - learnedAtMs, slowdownHalfLifeMs));
 
 	const recordSpeed = (ratio: number) => {
-		const bounded = Math.min(Math.max(ratio, smallestSlowdown), largestSlowdown);
+		const bounded = Math.min(Math.max(ratio, smallestSample), largestSample);
 		learnedSlowdown = (currentLearned() ** (1 - speedSampleWeight)) * (bounded ** speedSampleWeight);
 		learnedAtMs = clock();
 	};
@@ -134,7 +135,8 @@
 		failureRate: currentFailures,
 		overdueMs() {
 			const oldest = oldestStart();
-			if (oldest === undefined || answeredAtMs > oldest.startedAtMs + (oldest.expectedMs * overdueAfter)) {
+			// An answer after the one that is due shows that the endpoint lives.
+			if (oldest === undefined || answeredAtMs > oldest.startedAtMs + oldest.expectedMs) {
 				return 0;
 			}
 
@@ -168,13 +170,13 @@
 				return;
 			}
 
-			recordFailure(true);
-			if (result.kind === 'refused') {
+			// Where others were answered meanwhile, one silence is a straggler.
+			if (result.kind === 'silent' && answeredAtMs > flight.startedAtMs) {
 				return;
 			}
 
-			// Where others were answered meanwhile, one silence is a straggler.
-			if (result.kind === 'silent' && answeredAtMs > flight.startedAtMs) {
+			recordFailure(true);
+			if (result.kind === 'refused') {
 				return;
 			}
 
--- a/packages/dispatch/src/workEstimate.ts
+++ b/packages/dispatch/src/workEstimate.ts
@@ -13,7 +13,7 @@
 
 /** First guesses as multiples of the latency target: low, since a route that is refused for its guess never shows its work. */
 const firstWarmPart = 0.2;
-const firstColdPart = 0.5;
+const firstColdPart = 0.7;
 /** Step of the estimate towards a sample, as a part of the estimate. A fixed step follows the median, which stragglers don't move. */
 const step = 0.04;
 /** Samples during which the estimate moves faster. */
