--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -13,6 +13,7 @@
 import type {DispatchedRequest, DispatchRefusal, EndpointLease} from './dispatchedRequest.js';
 import {type Candidate, chooseWithin, roomOf} from './endpointChoice.js';
 import {createEndpointPool} from './endpointPool.js';
+import {createNewcomers} from './newcomers.js';
 import {createOverflowAllowance, type OverflowAllowance} from './overflowAllowance.js';
 import {
 	createMovingShares, type MovingShares, type RegionLoad, wantedShares,
@@ -86,6 +87,7 @@
 	const {clock, self, instances, serviceOf, regionOfZone, largestShift, random} = options;
 	const pool = createEndpointPool(clock, regionOfZone);
 	const cold = createColdAllowance(clock, self.id, () => instances().map(({id}) => id));
+	const newcomers = createNewcomers(clock, self.id, () => instances().filter(({region}) => region === self.region).map(({id}) => id));
 	const roundTrips = new Map<AvailabilityZoneName, number>();
 	const work = new Map<string, WorkEstimate>();
 	const meanWork = new Map<string, number>();
@@ -209,6 +211,11 @@
 		const region = order.find(name => candidates.some(candidate => regionOfEndpoint(candidate) === name));
 		const inRegion = evaluate(request, key, region === undefined ? candidates : candidates.filter(candidate => regionOfEndpoint(candidate) === region));
 		const room = roomOf(request, clock());
+		const newcomer = request.route.kind === 'idempotent' && region === self.region ? newcomers.due(inRegion.map(({endpoint}) => endpoint)) : undefined;
+		if (newcomer !== undefined) {
+			return {best: inRegion.find(({endpoint}) => endpoint === newcomer), evaluated: inRegion};
+		}
+
 		const near = chooseWithin(inRegion, room);
 		if (near !== undefined || region === undefined) {
 			return {best: near, evaluated: inRegion};
--- a/packages/dispatch/src/trackedEndpoint.ts
+++ b/packages/dispatch/src/trackedEndpoint.ts
@@ -33,6 +33,10 @@
 	readonly slots: () => number;
 	/** Requests of this instance at the endpoint. */
 	readonly inFlight: () => number;
+	/** Requests that this instance has sent there so far. */
+	readonly sends: () => number;
+	/** Monotonic milliseconds since which it has been warm; in the future while it is cold. */
+	readonly warmSinceMs: () => number;
 	/** Requests of all instances, running and waiting, as estimated now. */
 	readonly load: () => number;
 	/** How long work takes there, relative to the usual. */
@@ -81,6 +85,7 @@
 	const flights = new Set<Flight>();
 	const keys = createRecentKeys(keptKeys);
 	let registered = first;
+	let sends = 0;
 	let {coldUntilMs} = first;
 	let reportedSlots: number | undefined;
 	let others = 0;
@@ -127,6 +132,8 @@
 		},
 		slots: () => reportedSlots ?? registered.endpoint.slots,
 		inFlight: () => flights.size,
+		sends: () => sends,
+		warmSinceMs: () => Math.max(coldUntilMs, registered.firstSeenAtMs),
 		load: () => flights.size + (others * halved(clock() - reportedAtMs, othersHalfLifeMs)),
 		slowdown() {
 			const say = Math.exp((reportedAtMs - clock()) / reportedSpeedMs);
@@ -151,6 +158,7 @@
 		start(expectedMs) {
 			const flight = {startedAtMs: clock(), expectedMs};
 			flights.add(flight);
+			sends += 1;
 			return flight;
 		},
 		end(flight, result) {
