First guesses of work by the latency target; a guess refuses nothing

Cause: guesses below the truth made second copies look cheap in the first seconds, when all first touches happen. Change: guesses of 0.3 and 1.1 of the target; a route without an answer yet is refused for waits only.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -210,7 +210,7 @@
 		const order = regionOrder(request, key);
 		const region = order.find(name => candidates.some(candidate => regionOfEndpoint(candidate) === name));
 		const inRegion = evaluate(request, key, region === undefined ? candidates : candidates.filter(candidate => regionOfEndpoint(candidate) === region));
-		const room = roomOf(request, clock());
+		const room = roomOf(request, clock(), workOf(request.route).isKnown());
 		const newcomer = request.route.kind === 'idempotent' && region === self.region ? newcomers.due(inRegion.map(({endpoint}) => endpoint)) : undefined;
 		if (newcomer !== undefined) {
 			return {best: inRegion.find(({endpoint}) => endpoint === newcomer), evaluated: inRegion};
--- a/packages/dispatch/src/endpointChoice.ts
+++ b/packages/dispatch/src/endpointChoice.ts
@@ -38,11 +38,13 @@
  *
  * @param request - The request.
  * @param nowMs - Monotonic milliseconds.
+ * @param isWorkKnown - Whether any answer has told how long the route's requests take. A new route that was
+ * refused for a guess would never show it.
  * @returns Its room.
  */
-export const roomOf = ({route, targetAtMs, deadlineAtMs}: DispatchedRequest, nowMs: number): Room => ({
+export const roomOf = ({route, targetAtMs, deadlineAtMs}: DispatchedRequest, nowMs: number, isWorkKnown: boolean): Room => ({
 	largestWaitMs: route.latencyTargetMs * lateWaitPart,
-	largestTotalMs: deadlineAtMs - nowMs,
+	largestTotalMs: isWorkKnown ? deadlineAtMs - nowMs : Number.POSITIVE_INFINITY,
 	targetMs: targetAtMs - nowMs,
 });
 
--- a/packages/dispatch/src/workEstimate.ts
+++ b/packages/dispatch/src/workEstimate.ts
@@ -7,13 +7,15 @@
 export type WorkEstimate = {
 	readonly warmMs: () => number;
 	readonly coldMs: () => number;
+	/** Whether any answer has told; a guess is no reason to refuse a request. */
+	readonly isKnown: () => boolean;
 	/** Takes in the time that a request kept a slot, divided by the endpoint's slowdown. */
 	readonly record: (isWarm: boolean, workMs: number) => void;
 };
 
-/** First guesses as multiples of the latency target: low, since a route that is refused for its guess never shows its work. */
-const firstWarmPart = 0.2;
-const firstColdPart = 0.7;
+/** First guesses as multiples of the latency target: a target is about what a warm answer makes with ease and a cold one misses. */
+const firstWarmPart = 0.3;
+const firstColdPart = 1.1;
 /** Step of the estimate towards a sample, as a part of the estimate. A fixed step follows the median, which stragglers don't move. */
 const step = 0.04;
 /** Samples during which the estimate moves faster. */
@@ -35,6 +37,7 @@
 	return {
 		warmMs: () => Math.min(warm, cold),
 		coldMs: () => cold,
+		isKnown: () => warmSamples + coldSamples > 0,
 		record(isWarm, workMs) {
 			if (isWarm) {
 				warm = follow(warm, workMs, warmSamples);
