--- a/packages/logger/src/logger.ts
+++ b/packages/logger/src/logger.ts
@@ -4,7 +4,7 @@
  * that stops would stop the process. Volume is bounded: by event and second, and by the bytes that wait.
  */
 import createDebug from 'debug';
-import {SonicBoom} from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import {createLineLimit} from './lineLimit.js';
 import type {EventDefinition} from './eventDefinition.js';
 
@@ -21,11 +21,13 @@
 const maximumWaitingBytes = 262_144;
 const standardOutput = 1;
 
-let output: SonicBoom | undefined;
+type Output = InstanceType<typeof sonicBoom.SonicBoom>;
 
-const outputOf = (): SonicBoom => {
+let output: Output | undefined;
+
+const outputOf = (): Output => {
 	if (output === undefined) {
-		output = new SonicBoom({fd: standardOutput, sync: false, maxLength: maximumWaitingBytes});
+		output = new sonicBoom.SonicBoom({fd: standardOutput, sync: false, maxLength: maximumWaitingBytes});
 		// A reader that is gone must not end the process; there is nowhere to report it.
 		output.on('error', () => undefined);
 	}
