--- a/packages/dispatch/src/arrivalMix.ts
+++ b/packages/dispatch/src/arrivalMix.ts
@@ -9,12 +9,9 @@
 	readonly record: (service: string) => void;
 	/** Part of all requests, from 0 to 1. */
 	readonly shareOf: (service: string) => number;
-	/** Requests a second, of all services. */
-	readonly perSecond: () => number;
 };
 
 const windowMs = 5000;
-const millisecondsPerSecond = 1000;
 
 /**
  * Creates an empty mix.
@@ -33,6 +30,5 @@
 			all.record();
 		},
 		shareOf: service => (byService.get(service)?.count() ?? 0) / Math.max(all.count(), 1),
-		perSecond: () => all.count() * millisecondsPerSecond / windowMs,
 	};
 };
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -18,6 +18,7 @@
 import {
 	createMovingShares, type MovingShares, type RegionLoad, wantedShares,
 } from './regionShares.js';
+import {createServiceShares} from './serviceShares.js';
 import type {SendResult, TrackedEndpoint} from './trackedEndpoint.js';
 import {createWorkEstimate, type WorkEstimate} from './workEstimate.js';
 
@@ -67,8 +68,6 @@
 const seenWarmth = 0.85;
 /** Likelihood from which an answer's time counts as that of warm work. */
 const warmFrom = 0.85;
-/** Part of the bound on shifts by which shares move in a second: the bound holds for two. */
-const sharesPart = 0.25;
 /** Work of a service until its first answers, in milliseconds. */
 const assumedWorkMs = 300;
 /** Weight of a new sample in a service's mean work. */
@@ -92,7 +91,6 @@
 	const work = new Map<string, WorkEstimate>();
 	const meanWork = new Map<string, number>();
 	const arrivals = createArrivalMix(clock);
-	const shares = new Map<string, MovingShares>();
 	const overflows = new Map<string, OverflowAllowance>();
 
 	const overflowOf = (service: string): OverflowAllowance => {
@@ -112,43 +110,17 @@
 	const roundTripMs = (zone: AvailabilityZoneName): number => roundTrips.get(zone)
 		?? (pool.regionOf(zone) === self.region ? firstSameRegionMs : firstOtherRegionMs);
 
-	const loadsByRegion = (service: string): RegionLoad[] => {
-		const loads = new Map<RegionName, {demand: number; capacity: number}>();
-		const loadOf = (region: RegionName) => {
-			const load = loads.get(region) ?? {demand: 0, capacity: 0};
-			loads.set(region, load);
-			return load;
-		};
-
-		for (const {region, requestsPerSecond} of instances()) {
-			loadOf(region).demand += requestsPerSecond;
-		}
-
-		for (const endpoint of pool.usable(service)) {
-			loadOf(pool.regionOf(endpoint.registered().endpoint.availabilityZone)).capacity += endpoint.slots() / endpoint.slowdown();
-		}
-
-		// Requests a second of all services become slots of this one; other instances have the same mix.
-		const slotsPerRequest = arrivals.shareOf(service) * meanWorkOf(service) / millisecondsPerSecond;
-		return [...loads].map(([region, {demand, capacity}]) => ({region, demand: demand * slotsPerRequest, capacity}));
-	};
-
-	const stepService = (service: string, moving: MovingShares) => {
-		const loads = loadsByRegion(service);
-		const withCapacity = new Set(loads.filter(({capacity}) => capacity > 0).map(({region}) => region));
-		moving.update(wantedShares(self.region, loads), withCapacity);
-	};
-
-	const sharesOf = (service: string): MovingShares => {
-		let moving = shares.get(service);
-		if (moving === undefined) {
-			moving = createMovingShares(clock, largestShift() * sharesPart);
-			shares.set(service, moving);
-			stepService(service, moving);
-		}
+	const regionOfEndpoint = (endpoint: TrackedEndpoint): RegionName => pool.regionOf(endpoint.registered().endpoint.availabilityZone);
 
-		return moving;
-	};
+	const shares = createServiceShares({
+		clock,
+		own: self.region,
+		demands: instances,
+		capacities: service => pool.usable(service).map(endpoint => ({region: regionOfEndpoint(endpoint), slots: endpoint.slots() / endpoint.slowdown()})),
+		// Other instances are taken to have the same mix of services.
+		slotsPerRequest: service => arrivals.shareOf(service) * meanWorkOf(service) / millisecondsPerSecond,
+		largestShift,
+	});
 
 	const mayServe = (candidate: TrackedEndpoint, {route, tried}: DispatchedRequest): boolean => {
 		const {id, availabilityZone, service} = candidate.registered().endpoint;
@@ -159,7 +131,7 @@
 
 	/** Regions in the order in which a request should use them: a key keeps its region while the shares stay. */
 	const regionOrder = (request: DispatchedRequest, key: string | undefined): RegionName[] => {
-		const places = [...sharesOf(request.service).current()].map(([region, share]) => ({id: region, weight: share}));
+		const places = [...shares.of(request.service)].map(([region, share]) => ({id: region, weight: share}));
 		return affinityOrder(key ?? String(random()), places);
 	};
 
@@ -202,8 +174,6 @@
 		});
 	};
 
-	const regionOfEndpoint = (endpoint: TrackedEndpoint): RegionName => pool.regionOf(endpoint.registered().endpoint.availabilityZone);
-
 	/** Chooses in the request's region first, and elsewhere where that is full and there is allowance. */
 	const choose = (request: DispatchedRequest, candidates: readonly TrackedEndpoint[]): {readonly best: Candidate | undefined; readonly evaluated: readonly Candidate[]} => {
 		const key = keyOf(request);
@@ -294,10 +264,6 @@
 			const known = roundTripMs(zone);
 			roundTrips.set(zone, known + (roundTripWeight * (milliseconds - known)));
 		},
-		step() {
-			for (const [service, moving] of shares) {
-				stepService(service, moving);
-			}
-		},
+		step: shares.step,
 	};
 };
--- a/packages/dispatch/src/retryAllowance.ts
+++ b/packages/dispatch/src/retryAllowance.ts
@@ -19,8 +19,6 @@
 	readonly recordRequest: () => void;
 	/** Takes one repeat if there is room. */
 	readonly tryTake: () => boolean;
-	/** Share of the allowance that is left, from 0 to 1. */
-	readonly left: () => number;
 };
 
 /** Part of the bound that is used: views of the number of instances differ for a while. */
@@ -53,6 +51,5 @@
 			repeats.record();
 			return true;
 		},
-		left: () => Math.max(0, 1 - ((repeats.count() + 1) / Math.max(allowed(), 1))),
 	};
 };
--- a/packages/dispatch/src/trackedEndpoint.ts
+++ b/packages/dispatch/src/trackedEndpoint.ts
@@ -47,7 +47,6 @@
 	readonly overdueMs: () => number;
 	readonly isEjected: () => boolean;
 	readonly isCold: () => boolean;
-	readonly setColdFor: (milliseconds: number) => void;
 	readonly keys: RecentKeys;
 	readonly start: (expectedMs: number) => Flight;
 	readonly end: (flight: Flight, result: SendResult) => void;
@@ -151,9 +150,6 @@
 		},
 		isEjected: () => ejectedUntilMs > clock(),
 		isCold: () => coldUntilMs > clock(),
-		setColdFor(milliseconds) {
-			coldUntilMs = milliseconds > 0 ? clock() + milliseconds : 0;
-		},
 		keys,
 		start(expectedMs) {
 			const flight = {startedAtMs: clock(), expectedMs};
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -24,8 +24,6 @@
 	expectedEndpoint: 'x-expect',
 	notRun: 'x-not-run',
 	stamp: 'x-stamp',
-	endpointId: 'x-endpoint',
-	coldFor: 'x-cold-ms',
 	load: 'x-load',
 	affinityCookie: 'affinity',
 	decodeLoad: () => undefined,
--- a/packages/gateway/src/endpointConnections.ts
+++ b/packages/gateway/src/endpointConnections.ts
@@ -36,7 +36,6 @@
 	readonly drop: (endpointId: string) => void;
 	/** Closes kept connections that have been idle for too long. */
 	readonly closeIdle: () => void;
-	readonly open: () => number;
 	readonly close: () => void;
 };
 
@@ -76,7 +75,6 @@
  */
 export const createEndpointConnections = (clock: Clock): EndpointConnections => {
 	const idle = new Map<string, IdleConnection[]>();
-	let openCount = 0;
 
 	const remove = (endpointId: string, connection: IdleConnection) => {
 		const list = idle.get(endpointId)?.filter(other => other !== connection) ?? [];
@@ -109,7 +107,6 @@
 		const socket = connect({
 			host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: probeAfterMs,
 		});
-		openCount += 1;
 		const timer = setTimeout(() => {
 			socket.destroy();
 			resolve({kind: 'unreachable', reason: `no connection within ${Math.round(timeoutMs)} ms`});
@@ -120,9 +117,6 @@
 		};
 
 		socket.once('error', onError);
-		socket.once('close', () => {
-			openCount -= 1;
-		});
 		socket.once('connect', () => {
 			clearTimeout(timer);
 			socket.removeListener('error', onError);
@@ -181,7 +175,6 @@
 				}
 			}
 		},
-		open: () => openCount,
 		close() {
 			for (const id of idle.keys()) {
 				this.drop(id);
--- a/packages/gateway/src/gatewayHeaders.ts
+++ b/packages/gateway/src/gatewayHeaders.ts
@@ -15,10 +15,6 @@
 	readonly notRun: string;
 	/** Proof that an endpoint made the answer. */
 	readonly stamp: string;
-	/** Id of the endpoint that answers a health check. */
-	readonly endpointId: string;
-	/** Milliseconds that an endpoint stays cold, in answers to health checks. */
-	readonly coldFor: string;
 	/** Load of the endpoint. */
 	readonly load: string;
 	/** Name of the cookie with the affinity key. */
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -60,7 +60,6 @@
 
 /** Bounds that all instances keep together. Times in milliseconds. */
 export type DeploymentBounds = {
-	readonly drainMs: number;
 	readonly graceMs: number;
 	readonly retryRatio: number;
 	readonly retryExtra: number;
@@ -73,7 +72,6 @@
 
 /** Bounds where the settings name none: those of the smallest deployments. */
 const defaultBounds: Readonly<Record<string, number>> = {
-	drainSeconds: 2,
 	graceSeconds: 6,
 	retryRatio: 0.2,
 	retryExtra: 50,
@@ -92,7 +90,6 @@
 	const value = (name: string): number => deployment.bounds.get(name) ?? defaultBounds[name]!;
 	const milliseconds = (name: string): number => value(name) * millisecondsPerSecond;
 	return {
-		drainMs: milliseconds('drainSeconds'),
 		graceMs: milliseconds('graceSeconds'),
 		retryRatio: value('retryRatio'),
 		retryExtra: value('retryExtra'),
--- a/packages/settings/src/setting.ts
+++ b/packages/settings/src/setting.ts
@@ -163,7 +163,7 @@
 		.map(([name, value]) => [name, value === '' ? Number.NaN : Number(value)] as const)
 		.filter(([, value]) => Number.isFinite(value)))),
 	defaultText: details.defaultText,
-	expected: 'a list of name=number separated by commas, as drainSeconds=2.5,retryRatio=0.2',
+	expected: 'a list of name=number separated by commas, as graceSeconds=6,retryRatio=0.2',
 	unit: '',
 	description: details.description,
 });
