--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -15,9 +15,6 @@
 import {createEndpointPool} from './endpointPool.js';
 import {createNewcomers} from './newcomers.js';
 import {createOverflowAllowance, type OverflowAllowance} from './overflowAllowance.js';
-import {
-	createMovingShares, type MovingShares, type RegionLoad, wantedShares,
-} from './regionShares.js';
 import {createServiceShares} from './serviceShares.js';
 import type {SendResult, TrackedEndpoint} from './trackedEndpoint.js';
 import {createWorkEstimate, type WorkEstimate} from './workEstimate.js';
