One copy of the size of a header block; members without a caller go

Read through once more: the gateway had written the entry's headerBytes again; the dispatcher built a key in two places; giving up had a flag that was always set; look-ups of the pool, a count in flight and a copy of rows had no use. Behaviour is the same.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -46,8 +46,6 @@
 	readonly recordArrival: (service: string) => void;
 	/** Chooses an endpoint for one send of a request. */
 	readonly acquire: (request: DispatchedRequest) => EndpointLease | DispatchRefusal;
-	readonly find: (endpointId: string) => TrackedEndpoint | undefined;
-	readonly usable: (service: string) => readonly TrackedEndpoint[];
 	readonly discard: (endpointId: string) => void;
 	/** Takes in the time that opening a connection to an endpoint took, in milliseconds. */
 	readonly recordConnect: (zone: AvailabilityZoneName, milliseconds: number) => void;
@@ -214,8 +212,9 @@
 			cold.take(registered.id, serviceOf(registered.service)?.coldRequestsPerSecond ?? 1);
 		}
 
-		if (request.affinityKey !== undefined && request.route.isSticky) {
-			endpoint.keys.add(`${request.route.name}\u0000${request.affinityKey}`);
+		const key = keyOf(request);
+		if (key !== undefined) {
+			endpoint.keys.add(key);
 		}
 
 		return {
@@ -254,8 +253,6 @@
 				? {kind: 'refused', reason: 'overloaded', expectedWaitMs: Math.min(...evaluated.map(({estimate}) => estimate.waitMs))}
 				: lease(request, best);
 		},
-		find: pool.find,
-		usable: pool.usable,
 		discard: pool.discard,
 		recordConnect(zone, milliseconds) {
 			const known = roundTripMs(zone);
--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -12,8 +12,6 @@
 	readonly configure: (registered: ReadonlyMap<string, RegisteredEndpoint>, evacuated: ReadonlySet<AvailabilityZoneName>) => void;
 	/** Endpoints of a service that take requests. */
 	readonly usable: (service: string) => readonly TrackedEndpoint[];
-	/** All endpoints that are known, leaving ones included. */
-	readonly find: (endpointId: string) => TrackedEndpoint | undefined;
 	/** Takes an endpoint out until it registers a new start. */
 	readonly discard: (endpointId: string) => void;
 	readonly regionOf: (zone: AvailabilityZoneName) => RegionName;
@@ -72,7 +70,6 @@
 			arrange();
 		},
 		usable: service => usableByService.get(service) ?? [],
-		find: id => tracked.get(id),
 		discard(id) {
 			const known = tracked.get(id);
 			if (known !== undefined) {
--- a/packages/dispatch/src/trackedEndpoint.ts
+++ b/packages/dispatch/src/trackedEndpoint.ts
@@ -31,8 +31,6 @@
 	readonly registered: () => RegisteredEndpoint;
 	readonly update: (registered: RegisteredEndpoint) => void;
 	readonly slots: () => number;
-	/** Requests of this instance at the endpoint. */
-	readonly inFlight: () => number;
 	/** Requests that this instance has sent there so far. */
 	readonly sends: () => number;
 	/** Monotonic milliseconds since which it has been warm; in the future while it is cold. */
@@ -130,7 +128,6 @@
 			coldUntilMs = next.coldUntilMs === 0 ? coldUntilMs : Math.max(coldUntilMs, next.coldUntilMs);
 		},
 		slots: () => reportedSlots ?? registered.endpoint.slots,
-		inFlight: () => flights.size,
 		sends: () => sends,
 		warmSinceMs: () => Math.max(coldUntilMs, registered.firstSeenAtMs),
 		load: () => flights.size + (others * halved(clock() - reportedAtMs, othersHalfLifeMs)),
--- a/packages/entry/src/upstreamClient.ts
+++ b/packages/entry/src/upstreamClient.ts
@@ -15,6 +15,7 @@
 import {deadlineHeader, loadHeader, upstreamOutcomeHeader} from '@filbertwell/types/headers';
 import type {Endpoint} from '@filbertwell/types/intent';
 import type {LoadReport} from '@filbertwell/types/loadReport';
+import {headerBytes} from './headerBytes.js';
 import {createLoadReportParser} from './loadReportParser.js';
 
 /** Body of a request for an upstream. */
@@ -57,16 +58,6 @@
 const reportTimeoutMs = 800;
 const largestReportBytes = 4096;
 const largestHeaderBytes = 32_768;
-const headerOverheadBytes = 4;
-
-const headerBytes = (rawHeaders: readonly string[]): number => {
-	let bytes = 0;
-	for (const text of rawHeaders) {
-		bytes += text.length;
-	}
-
-	return bytes + (rawHeaders.length / 2 * headerOverheadBytes);
-};
 
 const firstValue = (message: IncomingMessage, name: string): string | undefined => {
 	const value = message.headers[name];
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -12,23 +12,6 @@
 	| {readonly kind: 'tooLarge'}
 	| {readonly kind: 'gone'};
 
-const headerOverheadBytes = 4;
-
-/**
- * Size of a request's header block.
- *
- * @param rawHeaders - Names and values in turn.
- * @returns Bytes, with separators.
- */
-export const headerBytes = (rawHeaders: readonly string[]): number => {
-	let bytes = 0;
-	for (const text of rawHeaders) {
-		bytes += text.length;
-	}
-
-	return bytes + (rawHeaders.length / 2 * headerOverheadBytes);
-};
-
 /**
  * Reads a body whole.
  *
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -9,6 +9,7 @@
 import type {Socket} from 'node:net';
 import {createRouteTable, type RouteTable} from '@filbertwell/dispatch/routeTable';
 import {createServiceSplit} from '@filbertwell/dispatch/serviceSplit';
+import {headerBytes} from '@filbertwell/entry/headerBytes';
 import {endToEndHeaders} from '@filbertwell/entry/hopByHopHeaders';
 import {entryEvents} from '@filbertwell/logger/events/entryEvents';
 import type {Logger} from '@filbertwell/logger/logger';
@@ -18,7 +19,7 @@
 import {type OwnAnswer, sendEndpointAnswer, sendOwnAnswer} from './callerAnswer.js';
 import {createCallerConnections, type OpenRequest} from './callerConnections.js';
 import {
-	affinityKeyOf, callerDeadlineMs, headerBytes, readWholeBody,
+	affinityKeyOf, callerDeadlineMs, readWholeBody,
 } from './callerRequest.js';
 import type {ForwardRequest, ForwardResult} from './forwardRequest.js';
 import type {GatewayHeaders} from './gatewayHeaders.js';
--- a/packages/gateway/src/forwardRequest.ts
+++ b/packages/gateway/src/forwardRequest.ts
@@ -233,11 +233,7 @@
 		}
 	};
 
-	const giveUp = (forwarded: ForwardedRequest, progress: Progress, hasOpenSend: boolean): ForwardResult => {
-		if (!progress.mayHaveRun && !hasOpenSend) {
-			return refuse(forwarded, progress, 'the time is up', 0);
-		}
-
+	const giveUp = (forwarded: ForwardedRequest, progress: Progress): ForwardResult => {
 		log(gatewayEvents.requestFailed, {
 			request: forwarded.request.requestId, route: forwarded.route.name, service: forwarded.service, reason: 'no answer in time', sends: progress.sends, tookMs: Math.round(clock() - forwarded.arrivedAtMs),
 		});
@@ -255,7 +251,7 @@
 		const ending = new AbortController();
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
-				resolve(giveUp(forwarded, progress, true));
+				resolve(giveUp(forwarded, progress));
 				ending.abort();
 			}, Math.max(0, deadlineAtMs - clock()));
 			const onGone = () => {
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -125,9 +125,7 @@
 	};
 
 	const state = followTraffic({
-		adapter, membership, channel, clock, random, signal, onChange() {
-			configure();
-		},
+		adapter, membership, channel, clock, random, signal, onChange: configure,
 	});
 	const connections = createEndpointConnections(clock);
 	const allowances = new Map<string, RetryAllowance>();
--- a/packages/gateway/src/trafficState.ts
+++ b/packages/gateway/src/trafficState.ts
@@ -63,8 +63,7 @@
 		}
 
 		const answer = await channel.call(peer.peerAddress, 'discovery.rows', {table, newerThan: replicas[table].version() ?? -1});
-		const reading = answer.isOk() ? answer.value.reading : undefined;
-		return reading === undefined ? undefined : {version: reading.version, rows: reading.rows.map(({key, value}) => ({key, value}))};
+		return answer.isOk() ? answer.value.reading : undefined;
 	};
 
 	channel.handle('discovery.rows', ({table, newerThan}) => {
