Gateway: a request that crosses the close of an idle connection is not passed on

Ruled out: the stop's grace time (2.5 s after SIGTERM), the endpoint (answered 200 in 15 ms). Change: a connection that is being closed begins no request; it is dropped at once, so that its caller knows that the request was not read. Test: 'that crosses the close of its idle connection is not passed on' failed first.

--- a/packages/gateway/src/__tests__/forwarding.test.ts
+++ b/packages/gateway/src/__tests__/forwarding.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import {
 	afterEach, describe, expect, test, vi,
@@ -256,6 +257,38 @@
 		expect(text).toContain('for b');
 	});
 
+	test('that crosses the close of its idle connection is not passed on', async () => {
+		const {gateway, endpoints} = await start([whole]);
+		const socket = connect({port: gateway.port, host: '127.0.0.1', allowHalfOpen: true});
+		socket.on('error', () => undefined);
+		socket.resume();
+		await call(gateway.port);
+		gateway.server.closeIdle();
+		await once(socket, 'end');
+		socket.write('PUT /late HTTP/1.1\r\nHost: shop.example\r\nX-Id: late\r\n\r\n');
+		await vi.waitFor(() => {
+			expect(gateway.logged).toContain('requestNotRead');
+		});
+		socket.destroy();
+		expect(endpoints[0]!.received.map(({id}) => id)).not.toContain('late');
+	});
+
+	test('that comes behind a connection\'s last answer is not passed on', async () => {
+		const {gateway, endpoints} = await start([(socket, request) => {
+			socket.write(wholeAnswer(request, 'last'));
+		}], {isLeaving: () => true});
+		const socket = connect({port: gateway.port, host: '127.0.0.1', allowHalfOpen: true});
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write('PUT /late HTTP/1.1\r\nHost: shop.example\r\nX-Id: late\r\n\r\n');
+		});
+
+		socket.write('GET /1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: first\r\n\r\n');
+		await once(socket, 'end');
+		socket.destroy();
+		expect(endpoints[0]!.received.map(({id}) => id)).toEqual(['first']);
+	});
+
 	test.each([
 		['a path that no route has', 404, {path: '/a', headers: {host: 'nowhere.example'}}],
 		['a body over the limit', 413, {method: 'PUT', body: 'x'.repeat(1001)}],
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -119,6 +119,8 @@
 export type GatewayFixture = {
 	readonly server: CallerServer;
 	readonly port: number;
+	/** Names of the events that the caller's server logged. */
+	readonly logged: readonly string[];
 	readonly close: () => void;
 };
 
@@ -165,6 +167,7 @@
 	const connections = createEndpointConnections(clock);
 	const allowance: RetryAllowance = createRetryAllowance(clock, () => ({ratio: 0, extra: repeats, windowMs: 10_000}), () => 1);
 	const port = await freePort();
+	const logged: string[] = [];
 	const server = await startCallerServer({
 		address: {host: '127.0.0.1', port},
 		clock,
@@ -175,11 +178,14 @@
 		}),
 		isLeaving,
 		onAnswered: () => undefined,
-		log: silentLogger,
+		log(event) {
+			logged.push(event.name);
+		},
 	});
 	return {
 		server,
 		port,
+		logged,
 		close() {
 			server.stopListening();
 			server.closeIdle();
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -9,6 +9,8 @@
 	readonly callerGone: AbortSignal;
 	/** Whether other requests of the connection are open: then it can't be closed after this answer. */
 	readonly isAlone: () => boolean;
+	/** Says that this answer is the connection's last: requests that arrive from now on are not read. */
+	readonly closeAfterAnswer: () => void;
 	/** Ends the request. */
 	readonly end: () => void;
 };
@@ -16,7 +18,8 @@
 /** Connections from callers. */
 export type CallerConnections = {
 	readonly add: (socket: Socket) => void;
-	readonly begin: (socket: Socket) => OpenRequest;
+	/** Begins a request; `undefined` where the connection is already being closed, so that it could not be answered. */
+	readonly begin: (socket: Socket) => OpenRequest | undefined;
 	readonly openRequests: () => number;
 	/** Closes connections without an open request. */
 	readonly closeIdle: () => void;
@@ -29,6 +32,7 @@
  */
 export const createCallerConnections = (): CallerConnections => {
 	const open = new Map<Socket, Set<AbortController>>();
+	const closing = new WeakSet<Socket>();
 	let openRequests = 0;
 
 	return {
@@ -43,6 +47,10 @@
 			});
 		},
 		begin(socket) {
+			if (closing.has(socket)) {
+				return undefined;
+			}
+
 			const controller = new AbortController();
 			const requests = open.get(socket);
 			if (requests === undefined) {
@@ -55,6 +63,9 @@
 			return {
 				callerGone: controller.signal,
 				isAlone: () => (requests?.size ?? 0) <= 1,
+				closeAfterAnswer() {
+					closing.add(socket);
+				},
 				end() {
 					if (!isEnded) {
 						isEnded = true;
@@ -68,6 +79,7 @@
 		closeIdle() {
 			for (const [socket, requests] of open) {
 				if (requests.size === 0) {
+					closing.add(socket);
 					socket.end();
 				}
 			}
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -12,6 +12,7 @@
 import {headerBytes} from '@filbertwell/entry/headerBytes';
 import {endToEndHeaders} from '@filbertwell/entry/hopByHopHeaders';
 import {entryEvents} from '@filbertwell/logger/events/entryEvents';
+import {gatewayEvents} from '@filbertwell/logger/events/gatewayEvents';
 import type {Logger} from '@filbertwell/logger/logger';
 import type {SocketAddress} from '@filbertwell/types/place';
 import type {TrafficPlan} from '@filbertwell/types/trafficPlan';
@@ -127,14 +128,24 @@
 	const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		const arrivedAtMs = clock();
 		const open = connections.begin(request.socket);
+		if (open === undefined) {
+			// It crossed the close on its way: its caller sees that it was not read, and sends it elsewhere.
+			log(gatewayEvents.requestNotRead, {request: String(request.headers[headers.requestId])});
+			request.socket.destroy();
+			return;
+		}
+
 		response.on('error', () => undefined);
 		request.on('error', () => undefined);
 		const result = await answer(request, arrivedAtMs, open);
-		if (isLeaving() && open.isAlone()) {
+		const isUnread = result.kind === 'own' && result.answer.closesConnection === true;
+		const hasNoLength = result.kind === 'endpoint' && result.answer.endsWithConnection;
+		if (isUnread || (open.isAlone() && (isLeaving() || hasNoLength))) {
+			open.closeAfterAnswer();
 			response.shouldKeepAlive = false;
 		}
 
-		if (result.kind === 'endpoint' && result.answer.endsWithConnection && !open.isAlone()) {
+		if (hasNoLength && !open.isAlone()) {
 			// Closing the connection would take the answers of the other requests along.
 			sendOwnAnswer(response, {status: 502, problem: 'the endpoint\'s answer has no length; the request may have run'});
 		} else if (result.kind === 'endpoint') {
--- a/packages/logger/src/events/gatewayEvents.ts
+++ b/packages/logger/src/events/gatewayEvents.ts
@@ -11,8 +11,8 @@
 	requestFailed: {
 		number: 11_001, name: 'requestFailed', level: 'info', meaning: 'A request ended without an endpoint\'s answer after it had been sent.',
 	},
-	requestLate: {
-		number: 11_002, name: 'requestLate', level: 'info', meaning: 'A request was answered later than its latency target, or after more than one attempt.',
+	requestNotRead: {
+		number: 11_002, name: 'requestNotRead', level: 'info', meaning: 'A request arrived on a connection that was already being closed; it was not read, and its caller sends it elsewhere.',
 	},
 	sendEnded: {
 		number: 11_003, name: 'sendEnded', level: 'info', meaning: 'One send of a request to an endpoint ended; the outcome says whether it may have run, the expected times and the load what the choice went by.',
