Discovery: a few instances read the store, the others follow them

Change: in a deployment of more than 16 instances one reader in each zone follows the store; the others ask it for changes (peers' method discovery.changes) with the age of its copy. A reader that is cut off, stopped or lost the store is noticed within 2 s, and the store is read instead, at growing intervals while it is away.

--- a/packages/discovery/src/__tests__/followTable.test.ts
+++ b/packages/discovery/src/__tests__/followTable.test.ts
@@ -50,7 +50,7 @@
 		random: createRandom(3),
 		log: silentLogger,
 		signal: stopping.signal,
-		waitMs: 0,
+		waitMs: () => 0,
 		pauseMs: 1,
 	});
 	const stop = async () => {
--- a/packages/discovery/src/followTable.ts
+++ b/packages/discovery/src/followTable.ts
@@ -21,13 +21,14 @@
 	readonly log: Logger;
 	readonly signal: AbortSignal;
 	/** Longest wait of one reading of changes, in milliseconds. */
-	readonly waitMs: number;
+	readonly waitMs: () => number;
 	/** Pause after a reading, so that changes in quick succession come in one reading, in milliseconds. */
 	readonly pauseMs: number;
 };
 
-/** Pause after a failed reading; with jitter, so that a store that returns is not called by all at once. */
-const retryMs = 250;
+/** Pauses after failed readings, doubled each time; with jitter, so that a store that returns is not called by all at once. */
+const firstRetryMs = 250;
+const longestRetryMs = 1000;
 /** Interval at which a copy that is out of date asks a peer. */
 const peerIntervalMs = 500;
 /** Time by which an answer of the table may be late before peers are asked. */
@@ -73,7 +74,7 @@
 			return true;
 		}
 
-		const reading = await table.readChanges(version, waitMs);
+		const reading = await table.readChanges(version, waitMs());
 		if (reading.isErr()) {
 			noteConnection(false, reading.error.detail);
 			return false;
@@ -92,7 +93,7 @@
 
 	const followPeers = async () => {
 		while (await waitUnlessAborted(peerIntervalMs, signal)) { // eslint-disable-line no-await-in-loop
-			const isLate = replica.version() === undefined || replica.ageMs() > waitMs + latenessMs;
+			const isLate = replica.version() === undefined || replica.ageMs() > waitMs() + latenessMs;
 			const reading = isLate ? await readFromPeer() : undefined; // eslint-disable-line no-await-in-loop
 			if (reading !== undefined && reading.version > (replica.version() ?? -1)) {
 				log(discoveryEvents.readFromPeer, {table: name, version: reading.version, rows: reading.rows.length});
@@ -102,9 +103,11 @@
 	};
 
 	const followStore = async () => {
+		let retryMs = firstRetryMs;
 		while (!signal.aborted) {
 			const isRead = await readOnce(); // eslint-disable-line no-await-in-loop
 			await waitUnlessAborted(isRead ? pauseMs : retryMs * (0.5 + random()), signal); // eslint-disable-line no-await-in-loop
+			retryMs = isRead ? firstRetryMs : Math.min(retryMs * 2, longestRetryMs);
 		}
 	};
 
--- a/packages/discovery/src/watchedTable.ts
+++ b/packages/discovery/src/watchedTable.ts
@@ -16,6 +16,8 @@
 	readonly rows: readonly WatchedRow[];
 	/** Rises with each change of any table. */
 	readonly version: number;
+	/** Milliseconds since the rows were known to be current; absent where they come from the table itself. */
+	readonly ageMs?: number;
 };
 
 /** A table whose changes can be followed. */
--- a/packages/gateway/src/trafficState.ts
+++ b/packages/gateway/src/trafficState.ts
@@ -5,7 +5,9 @@
 import {followTable} from '@filbertwell/discovery/followTable';
 import {createPlanFollower, type PlanFollower} from '@filbertwell/discovery/planFollower';
 import {createRowReplica, type RowReplica} from '@filbertwell/discovery/rowReplica';
-import type {TableReading} from '@filbertwell/discovery/watchedTable';
+import {awaitChanges, createSharedTable, type ReadFromReader} from '@filbertwell/discovery/sharedTable';
+import {createTableReaders} from '@filbertwell/discovery/tableReaders';
+import type {TableReading, WatchedTable} from '@filbertwell/discovery/watchedTable';
 import {createLogger} from '@filbertwell/logger/logger';
 import type {Membership} from '@filbertwell/membership/membership';
 import type {PeerChannel} from '@filbertwell/peer-protocol/peerChannel';
@@ -36,8 +38,6 @@
 /** Tables that are followed. */
 export type TableName = 'operators' | 'registrations';
 
-/** Longest wait of one reading: a connection that went silent is noticed within it and the call's slack. */
-const waitMs = 2500;
 /** Operators' rows take effect at once; registrations come in bursts. */
 const operatorPauseMs = 20;
 const registrationPauseMs = 200;
@@ -73,13 +73,33 @@
 			: {reading: {version: contents.version, rows: contents.rows.map(({key, value}) => ({key, value: value ?? ''}))}};
 	});
 
+	channel.handle('discovery.changes', async ({table, after, waitMs}) => {
+		const {reading, ageMs} = await awaitChanges(replicas[table], after, waitMs, clock);
+		return {ageMs, ...(reading !== undefined && {reading: {version: reading.version, rows: [...reading.rows]}})};
+	});
+
+	const readers = createTableReaders({
+		clock,
+		self: membership.self(),
+		instances: () => membership.members().filter(({health, state}) => health === 'alive' && state === 'serving'),
+	});
+	const readFromReader = (table: TableName): ReadFromReader => async ({peerAddress}, after, waitMs) => {
+		const answer = await channel.call(peerAddress, 'discovery.changes', {table, after, waitMs});
+		return answer
+			.map(({reading, ageMs}) => ({reading: reading === undefined ? undefined : {version: reading.version, rows: reading.rows.map(({key, value}) => ({key, value}))}, ageMs}))
+			.mapErr(({detail}) => detail);
+	};
+
+	const shared = (table: TableName, store: WatchedTable): WatchedTable => createSharedTable({
+		store, readers, readFromReader: readFromReader(table), clock,
+	});
 	const common = {
-		random, log, signal, waitMs,
+		random, log, signal, waitMs: readers.storeWaitMs,
 	};
 	void followTable({
 		...common,
 		name: 'operators',
-		table: adapter.operators,
+		table: shared('operators', adapter.operators),
 		replica: replicas.operators,
 		readFromPeer: async () => readFromPeer('operators'),
 		pauseMs: operatorPauseMs,
@@ -91,7 +111,7 @@
 	void followTable({
 		...common,
 		name: 'registrations',
-		table: adapter.registrations,
+		table: shared('registrations', adapter.registrations),
 		replica: replicas.registrations,
 		readFromPeer: async () => readFromPeer('registrations'),
 		pauseMs: registrationPauseMs,
--- a/packages/peer-protocol/src/methods.ts
+++ b/packages/peer-protocol/src/methods.ts
@@ -52,6 +52,21 @@
 			unchanged: z.boolean(),
 		}).readonly(),
 	},
+	/**
+	 * What changed in a followed table after a version, as the peer knows it; it answers with the first change, when its
+	 * copy goes out of date, or after the wait. Without a reading, it does not know the changes since then any more.
+	 */
+	'discovery.changes': { // eslint-disable-line @typescript-eslint/naming-convention -- name on the wire
+		params: z.object({table: z.enum(['operators', 'registrations']), after: z.number().int(), waitMs: z.number().nonnegative()}).readonly(),
+		result: z.object({
+			reading: z.object({
+				version: z.number().int().nonnegative(),
+				/** Without a value: the row was removed. */
+				rows: z.array(z.object({key: z.string(), value: z.string().optional()}).readonly()).readonly(),
+			}).readonly().optional(),
+			ageMs: z.number().nonnegative(),
+		}).readonly(),
+	},
 	/** The peer's copy of a followed table, if it is newer than a version. */
 	'discovery.rows': { // eslint-disable-line @typescript-eslint/naming-convention -- name on the wire
 		params: z.object({table: z.enum(['operators', 'registrations']), newerThan: z.number().int()}).readonly(),
