--- a/packages/dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/dispatch/src/__tests__/dispatcher.test.ts
@@ -43,6 +43,33 @@
 		expect(new Set(Array.from({length: 12}, (_, index) => other({affinityKey: `key-${index}`}))).size).toBe(3);
 	});
 
+	test('leaves a key\'s own endpoint while that fails or is overdue', () => {
+		const {chosen, dispatcher, request, clock} = createFixture(south);
+		const own = chosen();
+		const lease = dispatcher.acquire(request());
+		clock.advance(5000);
+		expect(chosen()).not.toBe(own);
+		if (!('kind' in lease)) {
+			lease.end('answered');
+		}
+
+		for (let failure = 0; failure < 3; failure++) {
+			const failing = dispatcher.acquire(request());
+			if (!('kind' in failing)) {
+				failing.end('failed');
+			}
+		}
+
+		expect(chosen()).not.toBe(own);
+	});
+
+	test('falls on a region that has just got its first endpoint', () => {
+		const {chosen, dispatcher} = createFixture([]);
+		expect(chosen()).toBe('noEndpoint');
+		dispatcher.configure(registeredById(south), new Set());
+		expect(chosen()).toMatch(/^s\d$/u);
+	});
+
 	test('stays in the own region while it has room', () => {
 		const {chosen} = createFixture([...south, ...north]);
 		const ids = Array.from({length: 6}, (_, index) => chosen({affinityKey: `key-${index}`}));
--- a/packages/dispatch/src/coldAllowance.ts
+++ b/packages/dispatch/src/coldAllowance.ts
@@ -18,6 +18,8 @@
 
 /** Instances that send to one cold endpoint: two, so that it warms up though one of them is cut off. */
 const senders = 2;
+/** Time for which a view of the members serves, in milliseconds: less than a member takes to be missed. */
+const memberViewMs = 500;
 /** Requests that each sender may send at once. */
 const burst = 1;
 
@@ -31,6 +33,20 @@
  */
 export const createColdAllowance = (clock: Clock, self: string, instances: () => readonly string[]): ColdAllowance => {
 	const buckets = new Map<string, TokenBucket>();
+	/** Whether this instance sends to a cold endpoint, for the members of one moment. */
+	const sends = new Map<string, boolean>();
+	let sendsForMs = clock();
+
+	const isSender = (endpointId: string): boolean => {
+		if (clock() - sendsForMs > memberViewMs) {
+			sends.clear();
+			sendsForMs = clock();
+		}
+
+		const known = sends.get(endpointId) ?? rendezvousOrder(endpointId, instances()).slice(0, senders).includes(self);
+		sends.set(endpointId, known);
+		return known;
+	};
 
 	const bucketOf = (endpointId: string, requestsPerSecond: number): TokenBucket => {
 		const known = buckets.get(endpointId);
@@ -41,8 +57,7 @@
 
 	return {
 		mayTake(endpointId, requestsPerSecond) {
-			const isSender = rendezvousOrder(endpointId, instances()).slice(0, senders).includes(self);
-			return isSender && bucketOf(endpointId, requestsPerSecond).level() >= 1;
+			return isSender(endpointId) && bucketOf(endpointId, requestsPerSecond).level() >= 1;
 		},
 		take(endpointId, requestsPerSecond) {
 			bucketOf(endpointId, requestsPerSecond).tryTake(1);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -6,13 +6,16 @@
 import type {Clock} from '@filbertwell/utils/clock';
 import type {RegisteredEndpoint} from '@filbertwell/discovery/endpointDirectory';
 import type {Random} from '@filbertwell/utils/random';
-import {affinityOrder, affinityScore} from './affinityOrder.js';
+import {affinityOrder} from './affinityOrder.js';
 import {createArrivalMix} from './arrivalMix.js';
 import {createColdAllowance} from './coldAllowance.js';
 import {estimateCompletion} from './completionEstimate.js';
 import type {DispatchedRequest, DispatchRefusal, EndpointLease} from './dispatchedRequest.js';
-import {type Candidate, chooseWithin, roomOf} from './endpointChoice.js';
+import {
+	type Candidate, chooseWithin, isAtEase, type Room, roomOf,
+} from './endpointChoice.js';
 import {createEndpointPool} from './endpointPool.js';
+import {createKeyPlaces} from './keyPlaces.js';
 import {createNewcomers} from './newcomers.js';
 import {createOverflowAllowance, type OverflowAllowance} from './overflowAllowance.js';
 import {createServiceShares} from './serviceShares.js';
@@ -53,12 +56,19 @@
 	readonly step: () => void;
 };
 
+/** A request's key and the endpoints of a region that keep it warm, first choice first. */
+type KeyPlace = {
+	readonly key: string | undefined;
+	readonly copies: readonly TrackedEndpoint[];
+	readonly endpoints: readonly TrackedEndpoint[];
+};
+
 /** Round trips until connections have been measured, in milliseconds. */
 const firstSameRegionMs = 2;
 const firstOtherRegionMs = 60;
 const roundTripWeight = 0.2;
-/** How likely the first and second choice of a key are warm for it, whoever sent it there. */
-const copyWarmth = [0.95, 0.55] as const;
+/** How likely the endpoints that keep a key, first choice first, are warm for it, whoever sent it there. */
+const copyWarmth = [0.95] as const;
 /** The same for an endpoint that lately got the key from this instance. */
 const seenWarmth = 0.85;
 /** Likelihood from which an answer's time counts as that of warm work. */
@@ -80,6 +90,7 @@
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
 	const {clock, self, instances, serviceOf, regionOfZone, largestShift, random} = options;
 	const pool = createEndpointPool(clock, regionOfZone);
+	const places = createKeyPlaces(pool.version);
 	const cold = createColdAllowance(clock, self.id, () => instances().map(({id}) => id));
 	const newcomers = createNewcomers(clock, self.id, () => instances().filter(({region}) => region === self.region).map(({id}) => id));
 	const roundTrips = new Map<AvailabilityZoneName, number>();
@@ -105,41 +116,32 @@
 	const roundTripMs = (zone: AvailabilityZoneName): number => roundTrips.get(zone)
 		?? (pool.regionOf(zone) === self.region ? firstSameRegionMs : firstOtherRegionMs);
 
-	const regionOfEndpoint = (endpoint: TrackedEndpoint): RegionName => pool.regionOf(endpoint.registered().endpoint.availabilityZone);
-
 	const shares = createServiceShares({
 		clock,
 		own: self.region,
 		demands: instances,
-		capacities: service => pool.usable(service).map(endpoint => ({region: regionOfEndpoint(endpoint), slots: endpoint.slots() / endpoint.slowdown()})),
 		// Other instances are taken to have the same mix of services.
 		slotsPerRequest: service => arrivals.shareOf(service) * meanWorkOf(service) / millisecondsPerSecond,
+		endpoints: service => [...pool.usable(service)].flatMap(([region, endpoints]) => endpoints.map(endpoint => ({
+			region, slots: endpoint.slots(), slowdown: endpoint.slowdown(), load: endpoint.load(),
+		}))),
 		largestShift,
 	});
 
-	const mayServe = (candidate: TrackedEndpoint, {route, tried}: DispatchedRequest): boolean => {
-		const {id, availabilityZone, service} = candidate.registered().endpoint;
-		const isAllowed = route.allowedRegions.length === 0 || route.allowedRegions.includes(pool.regionOf(availabilityZone));
-		return isAllowed && !tried.has(id) && !candidate.isEjected()
+	const mayServe = (candidate: TrackedEndpoint, {tried}: DispatchedRequest): boolean => {
+		const {id, service} = candidate.registered().endpoint;
+		return !tried.has(id) && !candidate.isEjected()
 			&& (!candidate.isCold() || cold.mayTake(id, serviceOf(service)?.coldRequestsPerSecond ?? 1));
 	};
 
-	/** Regions in the order in which a request should use them: a key keeps its region while the shares stay. */
-	const regionOrder = (request: DispatchedRequest, key: string | undefined): RegionName[] => {
-		const places = [...shares.of(request.service)].map(([region, share]) => ({id: region, weight: share}));
-		return affinityOrder(key ?? String(random()), places);
-	};
-
 	const keyOf = ({route, affinityKey}: DispatchedRequest): string | undefined => affinityKey === undefined || !route.isSticky ? undefined : `${route.name}\u0000${affinityKey}`;
 
-	/** Endpoints that keep a key warm, first choice first: all instances take the key there. */
-	const copiesOf = (key: string | undefined, inRegion: readonly TrackedEndpoint[]): readonly TrackedEndpoint[] => {
-		if (key === undefined) {
-			return [];
-		}
-
-		const scored = inRegion.map(endpoint => ({endpoint, score: affinityScore(key, {id: endpoint.registered().endpoint.id, weight: endpoint.slots()})}));
-		return scored.toSorted((a, b) => b.score - a.score).slice(0, copyWarmth.length).map(({endpoint}) => endpoint);
+	/** Regions in the order in which a request should use them: a key keeps its region while the shares stay. */
+	const regionOrder = (request: DispatchedRequest): RegionName[] => {
+		const current = shares.of(request.service);
+		// A region that has just got its first endpoint has no share yet; a weight of 0 puts it last.
+		const regions = new Set([...current.keys(), ...pool.usable(request.service).keys()]);
+		return affinityOrder(keyOf(request) ?? String(random()), [...regions].map(region => ({id: region, weight: current.get(region) ?? 0})));
 	};
 
 	const warmthOf = (candidate: TrackedEndpoint, key: string | undefined, copies: readonly TrackedEndpoint[]): number => {
@@ -148,47 +150,74 @@
 		return key !== undefined && candidate.keys.has(key) ? Math.max(seenWarmth, assumed) : assumed;
 	};
 
-	const evaluate = (request: DispatchedRequest, key: string | undefined, candidates: readonly TrackedEndpoint[]): Candidate[] => {
-		const estimate = workOf(request.route);
-		const copies = copiesOf(key, candidates);
-		return candidates.map(endpoint => {
+	/** A request's key with the endpoints of a region that keep it warm. */
+	const placeIn = (request: DispatchedRequest, region: RegionName): KeyPlace => {
+		const endpoints = pool.usable(request.service).get(region) ?? [];
+		const key = keyOf(request);
+		const copies = key === undefined
+			? []
+			: places.of({
+				key, service: request.service, region, endpoints, mayServe: endpoint => mayServe(endpoint, request), count: copyWarmth.length,
+			});
+		return {key, copies, endpoints};
+	};
+
+	const evaluate = (request: DispatchedRequest, {key, copies}: KeyPlace, endpoints: readonly TrackedEndpoint[]): Candidate[] => {
+		const work = workOf(request.route);
+		const warmMs = work.warmMs();
+		const coldMs = work.coldMs();
+		const meanWorkMs = meanWorkOf(request.service);
+		return endpoints.map(endpoint => {
 			const warmth = warmthOf(endpoint, key, copies);
 			return {
 				endpoint,
 				isCopy: key === undefined || copies.includes(endpoint),
 				isWarm: warmth >= warmFrom,
 				estimate: estimateCompletion({
-					endpoint,
-					roundTripMs: roundTripMs(endpoint.registered().endpoint.availabilityZone),
-					warmMs: estimate.warmMs(),
-					coldMs: estimate.coldMs(),
-					warmth,
-					meanWorkMs: meanWorkOf(request.service),
+					endpoint, roundTripMs: roundTripMs(endpoint.registered().endpoint.availabilityZone), warmMs, coldMs, warmth, meanWorkMs,
 				}),
 			};
 		});
 	};
 
+	/** Endpoints of a region that may serve a request, with their estimates; only the key's own one where that is at ease. */
+	const evaluateRegion = (request: DispatchedRequest, region: RegionName, room: Room): Candidate[] => {
+		const place = placeIn(request, region);
+		const [first] = evaluate(request, place, place.copies.slice(0, 1));
+		return first !== undefined && isAtEase(first, room)
+			? [first]
+			: evaluate(request, place, place.endpoints.filter(endpoint => mayServe(endpoint, request)));
+	};
+
 	/** Chooses in the request's region first, and elsewhere where that is full and there is allowance. */
-	const choose = (request: DispatchedRequest, candidates: readonly TrackedEndpoint[]): {readonly best: Candidate | undefined; readonly evaluated: readonly Candidate[]} => {
-		const key = keyOf(request);
-		const order = regionOrder(request, key);
-		const region = order.find(name => candidates.some(candidate => regionOfEndpoint(candidate) === name));
-		const inRegion = evaluate(request, key, region === undefined ? candidates : candidates.filter(candidate => regionOfEndpoint(candidate) === region));
-		const room = roomOf(request, clock(), workOf(request.route).isKnown());
-		const newcomer = request.route.kind === 'idempotent' && region === self.region ? newcomers.due(inRegion.map(({endpoint}) => endpoint)) : undefined;
-		if (newcomer !== undefined) {
-			return {best: inRegion.find(({endpoint}) => endpoint === newcomer), evaluated: inRegion};
+	const choose = (request: DispatchedRequest): {readonly best: Candidate | undefined; readonly evaluated: readonly Candidate[]} => {
+		const {route, service} = request;
+		const isAllowed = (region: RegionName) => route.allowedRegions.length === 0 || route.allowedRegions.includes(region);
+		const regions = regionOrder(request).filter(region => isAllowed(region));
+		const room = roomOf(request, clock(), workOf(route).isKnown());
+		const newcomer = route.kind === 'idempotent' && isAllowed(self.region)
+			? newcomers.due(pool.usable(service).get(self.region) ?? [])
+			: undefined;
+		if (newcomer !== undefined && mayServe(newcomer, request)) {
+			const evaluated = evaluate(request, placeIn(request, self.region), [newcomer]);
+			return {best: evaluated[0], evaluated};
+		}
+
+		let inRegion: Candidate[] = [];
+		let used = 0;
+		while (inRegion.length === 0 && used < regions.length) {
+			inRegion = evaluateRegion(request, regions[used]!, room);
+			used += 1;
 		}
 
 		const near = chooseWithin(inRegion, room);
-		if (near !== undefined || region === undefined) {
+		if (near !== undefined || used === regions.length) {
 			return {best: near, evaluated: inRegion};
 		}
 
-		const elsewhere = order.filter(name => name !== region).flatMap(name => evaluate(request, key, candidates.filter(candidate => regionOfEndpoint(candidate) === name)));
+		const elsewhere = regions.slice(used).flatMap(region => evaluateRegion(request, region, room));
 		const far = chooseWithin(elsewhere, {...room, largestWaitMs: 0});
-		return {best: far !== undefined && overflowOf(request.service).tryTake() ? far : undefined, evaluated: [...inRegion, ...elsewhere]};
+		return {best: far !== undefined && overflowOf(service).tryTake() ? far : undefined, evaluated: [...inRegion, ...elsewhere]};
 	};
 
 	const recordWork = (request: DispatchedRequest, {endpoint, isWarm, estimate}: Candidate, tookMs: number) => {
@@ -243,12 +272,11 @@
 			overflowOf(service).recordRequest();
 		},
 		acquire(request) {
-			const candidates = pool.usable(request.service).filter(candidate => mayServe(candidate, request));
-			if (candidates.length === 0) {
+			const {best, evaluated} = choose(request);
+			if (evaluated.length === 0) {
 				return {kind: 'refused', reason: 'noEndpoint', expectedWaitMs: noEndpointWaitMs};
 			}
 
-			const {best, evaluated} = choose(request, candidates);
 			return best === undefined
 				? {kind: 'refused', reason: 'overloaded', expectedWaitMs: Math.min(...evaluated.map(({estimate}) => estimate.waitMs))}
 				: lease(request, best);
--- a/packages/dispatch/src/endpointChoice.ts
+++ b/packages/dispatch/src/endpointChoice.ts
@@ -51,6 +51,24 @@
 const isAcceptable = ({estimate}: Candidate, {largestWaitMs, largestTotalMs, targetMs}: Room): boolean => estimate.totalMs <= largestTotalMs
 	&& (estimate.totalMs <= targetMs || estimate.waitMs <= largestWaitMs);
 
+/** Failure rate and slowdown up to which an endpoint is as good as its neighbours. */
+const calmFailureRate = 0.1;
+const calmSlowdown = 1.5;
+
+/**
+ * Tells whether an endpoint that keeps a request's key serves it so well that no other need be looked at: it has a free
+ * slot and no trouble, and anywhere else the key would be cold.
+ *
+ * @param candidate - The endpoint with its estimate.
+ * @param room - What the request can bear.
+ * @returns Whether it is the choice.
+ */
+export const isAtEase = (candidate: Candidate, room: Room): boolean => candidate.estimate.waitMs === 0
+	&& isAcceptable(candidate, room)
+	&& candidate.endpoint.failureRate() < calmFailureRate
+	&& candidate.endpoint.slowdown() < calmSlowdown
+	&& candidate.endpoint.overdueMs() === 0;
+
 const hasSpareSlots = ({endpoint}: Candidate): boolean => endpoint.load() < endpoint.slots() * spareUse;
 
 const cheapest = (candidates: readonly Candidate[]): Candidate | undefined => {
--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -10,13 +10,17 @@
 export type EndpointPool = {
 	/** Takes in the registrations and the zones that get nothing. */
 	readonly configure: (registered: ReadonlyMap<string, RegisteredEndpoint>, evacuated: ReadonlySet<AvailabilityZoneName>) => void;
-	/** Endpoints of a service that take requests. */
-	readonly usable: (service: string) => readonly TrackedEndpoint[];
+	/** Endpoints of a service that take requests, by region. */
+	readonly usable: (service: string) => ReadonlyMap<RegionName, readonly TrackedEndpoint[]>;
+	/** Rises with each change of the usable endpoints. */
+	readonly version: () => number;
 	/** Takes an endpoint out until it registers a new start. */
 	readonly discard: (endpointId: string) => void;
 	readonly regionOf: (zone: AvailabilityZoneName) => RegionName;
 };
 
+const noEndpoints: ReadonlyMap<RegionName, readonly TrackedEndpoint[]> = new Map();
+
 /**
  * Creates an empty pool.
  *
@@ -28,7 +32,8 @@
 	const tracked = new Map<string, TrackedEndpoint>();
 	/** Start of each endpoint that was found not to be there any more. */
 	const discarded = new Map<string, number>();
-	let usableByService = new Map<string, TrackedEndpoint[]>();
+	let usableByService = new Map<string, Map<RegionName, TrackedEndpoint[]>>();
+	let version = 0;
 	let evacuatedZones: ReadonlySet<AvailabilityZoneName> = new Set();
 
 	const isUsable = (candidate: TrackedEndpoint): boolean => {
@@ -36,14 +41,19 @@
 		return endpoint.state === 'ready' && !evacuatedZones.has(endpoint.availabilityZone) && discarded.get(endpoint.id) !== endpoint.startedAtUnixMs;
 	};
 
+	const regionOf = (zone: AvailabilityZoneName): RegionName => regionOfZone().get(zone) ?? zone;
+
 	const arrange = () => {
+		version += 1;
 		usableByService = new Map();
 		for (const candidate of tracked.values()) {
 			if (isUsable(candidate)) {
-				const {service} = candidate.registered().endpoint;
-				const list = usableByService.get(service) ?? [];
+				const {service, availabilityZone} = candidate.registered().endpoint;
+				const byRegion = usableByService.get(service) ?? new Map<RegionName, TrackedEndpoint[]>();
+				const list = byRegion.get(regionOf(availabilityZone)) ?? [];
 				list.push(candidate);
-				usableByService.set(service, list);
+				byRegion.set(regionOf(availabilityZone), list);
+				usableByService.set(service, byRegion);
 			}
 		}
 	};
@@ -69,7 +79,8 @@
 
 			arrange();
 		},
-		usable: service => usableByService.get(service) ?? [],
+		usable: service => usableByService.get(service) ?? noEndpoints,
+		version: () => version,
 		discard(id) {
 			const known = tracked.get(id);
 			if (known !== undefined) {
@@ -77,6 +88,6 @@
 				arrange();
 			}
 		},
-		regionOf: zone => regionOfZone().get(zone) ?? zone,
+		regionOf,
 	};
 };
--- /dev/null
+++ b/packages/dispatch/src/keyPlaces.ts
@@ -0,0 +1,74 @@
+/**
+ * The endpoints of a region that keep a key warm, first choice first. All instances with the same view agree on them.
+ * The order of a key's endpoints is kept until the endpoints change: a service has hundreds of them, a request has a few
+ * microseconds.
+ */
+import type {RegionName} from '@filbertwell/types/place';
+import {affinityScore} from './affinityOrder.js';
+import type {TrackedEndpoint} from './trackedEndpoint.js';
+
+/** Places of keys. */
+export type KeyPlaces = {
+	/** The first endpoints of a key that a request may use; endpoints are those of a service in a region. */
+	readonly of: (question: KeyQuestion) => readonly TrackedEndpoint[];
+};
+
+/** A key and the endpoints among which it has its places. */
+export type KeyQuestion = {
+	readonly key: string;
+	readonly service: string;
+	readonly region: RegionName;
+	readonly endpoints: readonly TrackedEndpoint[];
+	readonly mayServe: (endpoint: TrackedEndpoint) => boolean;
+	readonly count: number;
+};
+
+/** Endpoints of a key that are kept in order; more are looked for only while all of these are out. */
+const keptRanks = 8;
+/** Keys that are remembered; the rest of a larger set is ordered anew each time. */
+const rememberedKeys = 4000;
+
+const rank = (key: string, endpoints: readonly TrackedEndpoint[]): TrackedEndpoint[] => endpoints
+	.map(endpoint => ({endpoint, score: affinityScore(key, {id: endpoint.registered().endpoint.id, weight: endpoint.slots()})}))
+	.toSorted((a, b) => b.score - a.score)
+	.map(({endpoint}) => endpoint);
+
+/**
+ * Creates the places.
+ *
+ * @param version - Rises with each change of the endpoints.
+ * @returns The places.
+ */
+export const createKeyPlaces = (version: () => number): KeyPlaces => {
+	const ranked = new Map<string, readonly TrackedEndpoint[]>();
+	let rankedVersion = version();
+
+	const firstRanks = ({key, service, region, endpoints}: KeyQuestion): readonly TrackedEndpoint[] => {
+		if (rankedVersion !== version()) {
+			ranked.clear();
+			rankedVersion = version();
+		}
+
+		const name = `${service}\u0000${region}\u0000${key}`;
+		const known = ranked.get(name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const first = rank(key, endpoints).slice(0, keptRanks);
+		if (ranked.size < rememberedKeys) {
+			ranked.set(name, first);
+		}
+
+		return first;
+	};
+
+	return {
+		of(question) {
+			const {key, endpoints, mayServe, count} = question;
+			const usable = firstRanks(question).filter(endpoint => mayServe(endpoint));
+			const isEnough = usable.length >= count || endpoints.length <= keptRanks;
+			return (isEnough ? usable : rank(key, endpoints.filter(endpoint => mayServe(endpoint)))).slice(0, count);
+		},
+	};
+};
--- a/packages/dispatch/src/regionShares.ts
+++ b/packages/dispatch/src/regionShares.ts
@@ -16,8 +16,8 @@
 /** Shares of the own region's requests by serving region; they add up to 1 where there is capacity. */
 export type Shares = ReadonlyMap<RegionName, number>;
 
-/** Use of a region's capacity up to which its requests stay at home, whatever the others' use. */
-const homeUse = 0.6;
+/** Use of a region's capacity up to which its requests stay at home where its demand is known. */
+const usualHomeUse = 0.6;
 
 /** Use of the capacity that is assumed before there are requests. */
 const assumedUse = 0.7;
@@ -31,9 +31,10 @@
  *
  * @param own - Region whose requests are divided.
  * @param given - Demand and capacity of all regions.
+ * @param homeUse - Use of a region's capacity up to which its requests stay at home, whatever the others' use.
  * @returns The shares.
  */
-export const wantedShares = (own: RegionName, given: readonly RegionLoad[]): Shares => {
+export const wantedShares = (own: RegionName, given: readonly RegionLoad[], homeUse = usualHomeUse): Shares => {
 	const totalCapacity = given.reduce((sum, {capacity}) => sum + capacity, 0);
 	const loads = given.some(({demand}) => demand > 0) ? given : withAssumedDemand(given, totalCapacity);
 	const totalDemand = loads.reduce((sum, {demand}) => sum + demand, 0);
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -11,7 +11,7 @@
 import {createMembership} from '@filbertwell/membership/createMembership';
 import {createMetrics} from '@filbertwell/metrics/createMetrics';
 import {createPeerChannel} from '@filbertwell/peer-protocol/peerChannel';
-import {deploymentBounds, type GatewaySettings} from '@filbertwell/settings/gatewaySettings';
+import {deploymentBounds, processorCores, type GatewaySettings} from '@filbertwell/settings/gatewaySettings';
 import {monotonicClock as clock} from '@filbertwell/utils/clock';
 import {runPeriodically, waitUnlessAborted} from '@filbertwell/utils/periodic';
 import {createRandom} from '@filbertwell/utils/random';
@@ -20,7 +20,7 @@
 import {createEndpointConnections} from './endpointConnections.js';
 import {createForwardRequest} from './forwardRequest.js';
 import type {GatewayAdapter} from './gatewayAdapter.js';
-import {nearbyInstances} from './nearbyInstances.js';
+import {createNearbyInstances} from './nearbyInstances.js';
 import {jsonAnswer, startSmallServer} from './smallServers.js';
 import {followTraffic} from './trafficState.js';
 
@@ -45,8 +45,8 @@
 const noJitter = 0;
 const rateWindowMs = 2000;
 const millisecondsPerSecond = 1000;
-/** Addresses in a look-up answer, at most. */
-const largestLookup = 8;
+/** Addresses in a look-up answer, at most; a few are enough to go elsewhere when some are lost. */
+const largestLookup = 16;
 /** How long callers use an answer: short, so that they leave an instance that stops. */
 const lookupLifetimeMs = 2000;
 /** Time after a stop was asked for in which new connections are still taken: callers' answers run out. */
@@ -80,7 +80,7 @@
 	const channel = await createPeerChannel({address: peers, log: createLogger('peers')});
 	const membership = createMembership({
 		self: {
-			id: self.id, role: 'entry', region: self.region, availabilityZone: self.availabilityZone, site: self.availabilityZone, callerAddress: listen.callers,
+			id: self.id, role: 'entry', region: self.region, availabilityZone: self.availabilityZone, site: self.availabilityZone, capacity: processorCores(settings()), callerAddress: listen.callers,
 		},
 		seeds: peers.seeds,
 		instances: adapter.instances,
@@ -158,6 +158,7 @@
 		log,
 	});
 
+	const nearbyInstances = createNearbyInstances({clock, maximum: largestLookup});
 	const isReady = () => !isLeaving && state.plan() !== undefined;
 	const notFound = {status: 404, contentType: 'text/plain', body: 'not found\n'};
 	await startSmallServer(listen.ready, path => path === adapter.readyPath
@@ -168,7 +169,7 @@
 			return notFound;
 		}
 
-		const addresses = nearbyInstances(membership.members(), adapter.decodePlace(query), largestLookup);
+		const addresses = nearbyInstances(membership.members(), adapter.decodePlace(query));
 		const lifetimeMs = Math.min(lookupLifetimeMs, bounds().largestLookupLifetimeMs);
 		return addresses.length === 0
 			? jsonAnswer(503, {problem: 'no instance serves yet'})
--- a/packages/membership/src/selfAnnouncement.ts
+++ b/packages/membership/src/selfAnnouncement.ts
@@ -9,7 +9,7 @@
 import {toBeat, toRecord} from './records.js';
 
 /** Who this process is, from its settings. */
-export type MemberIdentity = Pick<Member, 'id' | 'role' | 'region' | 'availabilityZone' | 'site' | 'callerAddress' | 'peerAddress'>;
+export type MemberIdentity = Pick<Member, 'id' | 'role' | 'region' | 'availabilityZone' | 'site' | 'capacity' | 'callerAddress' | 'peerAddress'>;
 
 /**
  * What a peer's statement about this process calls for.
--- a/packages/peer-protocol/src/memberRecord.ts
+++ b/packages/peer-protocol/src/memberRecord.ts
@@ -42,6 +42,7 @@
 	region: name,
 	availabilityZone: name,
 	site: name,
+	capacity: z.number().positive().optional(),
 	callerAddress: socketAddressSchema,
 	peerAddress: socketAddressSchema,
 }).readonly();
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -17,6 +17,7 @@
 			id: nameSetting({description: 'Name of the instance, unique in the deployment.'}),
 			region: nameSetting({description: 'Region of the instance.'}),
 			availabilityZone: nameSetting({description: 'Availability zone of the instance.'}),
+			processor: numberMapSetting({description: 'Processor that the process may use: `share` of a core, on `cores` cores; each is 1 where it is missing.', defaultText: ''}),
 			zones: nameMapSetting({description: 'Region of each availability zone, as `zone:region`.'}),
 		},
 	},
@@ -58,6 +59,14 @@
 /** Settings of a gateway, nested by section. */
 export type GatewaySettings = SettingsValues<typeof gatewaySettingsSchema>;
 
+/**
+ * Reads how much processor the process may use.
+ *
+ * @param settings - Checked settings.
+ * @returns Cores, with fractions; 1 where the settings do not say.
+ */
+export const processorCores = ({process: {processor}}: GatewaySettings): number => (processor.get('share') ?? 1) * (processor.get('cores') ?? 1);
+
 /** Bounds that all instances keep together. Times in milliseconds. */
 export type DeploymentBounds = {
 	readonly graceMs: number;
--- a/packages/types/src/member.ts
+++ b/packages/types/src/member.ts
@@ -29,6 +29,8 @@
 	readonly region: RegionName;
 	readonly availabilityZone: AvailabilityZoneName;
 	readonly site: string;
+	/** Processor that the process may use, in cores; 1 where it does not say. */
+	readonly capacity?: number;
 	/** Where callers connect. */
 	readonly callerAddress: SocketAddress;
 	/** Where peers connect: UDP for heartbeats, TCP for JSON-RPC over HTTP. */
