Soak of the gateway as processes of its own, filbertwell trace, a test of a reader that stops

Soak (platform/src/__tests__/soak): four gateways, eight endpoints and the store's stand-in behind loopback proxies; signals, cuts in one direction, silence, resets, delays, outages and lost answers of the store, crashes with reused addresses, drains and changed plans, in series and overlapping. It checks six promises from what callers and endpoints saw; each check is shown to find a planted fault. Not covered: wall clocks, peers' connections. trace: reads logs, prints a request's timeline with what its instances had learned before. The logger's test writes 2 MB to a pipe that nobody reads; the process goes on.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -14,6 +14,7 @@
 import {rollbackCommand} from './commands/rollbackCommand.js';
 import {shiftCommand} from './commands/shiftCommand.js';
 import {statusCommand} from './commands/statusCommand.js';
+import {traceCommand} from './commands/traceCommand.js';
 import {undrainCommand} from './commands/undrainCommand.js';
 import {exitCodes} from './exitCodes.js';
 import {failed} from './commandFailure.js';
@@ -47,6 +48,7 @@
 	.command(historyCommand)
 	.command(rollbackCommand)
 	.command(explainCommand)
+	.command(traceCommand)
 	.demandCommand(1, 'name a command; filbertwell --help lists them')
 	.strict()
 	.epilogue(exitCodeHelp)
