Instances that have just started send nothing to cold endpoints and take no fixed part of the repeats

Whether an instance is one of the two senders of a cold endpoint follows from the members that it knows; one that has just started knows itself alone, so that each takes itself for a sender. Likewise it took the fixed part of the repeats of 80 for its own. Change: for 3 s after its start, the time of reading the list and some rounds of heartbeats, neither. Test: five instances of 80 that know only themselves; 14 sends in a second before, bound 5.55.

--- a/packages/dispatch/src/__tests__/allowances.test.ts
+++ b/packages/dispatch/src/__tests__/allowances.test.ts
@@ -59,10 +59,34 @@
 });
 
 describe('a cold endpoint', () => {
+	test('gets no more than it bears while instances that have just started know none of the others', () => {
+		const clock = createManualClock();
+		const ids = Array.from({length: 80}, (_, index) => `instance-${index}`);
+		const started = new Set(ids.slice(0, 5));
+		const allowances = ids.map(id => createColdAllowance({
+			clock: clock.now, self: id, instances: () => started.has(id) ? [id] : ids, knowsPeers: () => !started.has(id),
+		}));
+		let sends = 0;
+		for (let step = 0; step < 100; step++) {
+			for (const allowance of allowances) {
+				if (allowance.mayTake('endpoint', 3.7)) {
+					allowance.take('endpoint', 3.7);
+					sends += 1;
+				}
+			}
+
+			clock.advance(10);
+		}
+
+		expect(sends).toBeLessThanOrEqual(3.7 * 1.5);
+	});
+
 	test.each([2, 8, 14])('gets no more than it bears in any second from %i instances', count => {
 		const clock = createManualClock();
 		const ids = Array.from({length: count}, (_, index) => `instance-${index}`);
-		const allowances = ids.map(id => createColdAllowance(clock.now, id, () => ids));
+		const allowances = ids.map(id => createColdAllowance({
+			clock: clock.now, self: id, instances: () => ids, knowsPeers: () => true,
+		}));
 		const sends: number[] = [];
 		for (let step = 0; step < 400; step++) {
 			for (const allowance of allowances) {
@@ -85,7 +109,9 @@
 	test('keeps to its bound while instances disagree on who is there', () => {
 		const clock = createManualClock();
 		const ids = Array.from({length: 8}, (_, index) => `instance-${index}`);
-		const allowances = ids.map((id, index) => createColdAllowance(clock.now, id, () => index < 4 ? ids.slice(0, 4) : ids.slice(4)));
+		const allowances = ids.map((id, index) => createColdAllowance({
+			clock: clock.now, self: id, instances: () => index < 4 ? ids.slice(0, 4) : ids.slice(4), knowsPeers: () => true,
+		}));
 		let sends = 0;
 		for (let step = 0; step < 100; step++) {
 			for (const allowance of allowances) {
--- a/packages/dispatch/src/coldAllowance.ts
+++ b/packages/dispatch/src/coldAllowance.ts
@@ -23,15 +23,24 @@
 /** Requests that each sender may send at once. */
 const burst = 1;
 
+/** Parameters of the allowance. */
+export type ColdAllowanceOptions = {
+	readonly clock: Clock;
+	/** Id of this instance. */
+	readonly self: string;
+	/** Ids of all instances, this one included. */
+	readonly instances: () => readonly string[];
+	/** Whether this instance has had the time to hear of the others; before, it would take itself for a sender of all. */
+	readonly knowsPeers: () => boolean;
+};
+
 /**
  * Creates an allowance.
  *
- * @param clock - Monotonic milliseconds.
- * @param self - Id of this instance.
- * @param instances - Ids of all instances, this one included.
+ * @param options - This instance and its peers.
  * @returns The allowance.
  */
-export const createColdAllowance = (clock: Clock, self: string, instances: () => readonly string[]): ColdAllowance => {
+export const createColdAllowance = ({clock, self, instances, knowsPeers}: ColdAllowanceOptions): ColdAllowance => {
 	const buckets = new Map<string, TokenBucket>();
 	/** Whether this instance sends to a cold endpoint, for the members of one moment. */
 	const sends = new Map<string, boolean>();
@@ -57,7 +66,7 @@
 
 	return {
 		mayTake(endpointId, requestsPerSecond) {
-			return isSender(endpointId) && bucketOf(endpointId, requestsPerSecond).level() >= 1;
+			return knowsPeers() && isSender(endpointId) && bucketOf(endpointId, requestsPerSecond).level() >= 1;
 		},
 		take(endpointId, requestsPerSecond) {
 			bucketOf(endpointId, requestsPerSecond).tryTake(1);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -36,6 +36,8 @@
 	readonly regionOfZone: () => ReadonlyMap<AvailabilityZoneName, RegionName>;
 	/** All instances that serve, this one included. */
 	readonly instances: () => readonly InstanceSummary[];
+	/** Whether this instance has had the time to hear of the others. */
+	readonly knowsPeers: () => boolean;
 	readonly serviceOf: (name: string) => PlannedService | undefined;
 	/** Largest part of a region's requests that may change their serving region within two seconds. */
 	readonly largestShift: () => number;
@@ -88,10 +90,12 @@
  * @returns The dispatcher.
  */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
-	const {clock, self, instances, serviceOf, regionOfZone, largestShift, random} = options;
+	const {clock, self, instances, knowsPeers, serviceOf, regionOfZone, largestShift, random} = options;
 	const pool = createEndpointPool(clock, regionOfZone);
 	const places = createKeyPlaces(pool.version);
-	const cold = createColdAllowance(clock, self.id, () => instances().map(({id}) => id));
+	const cold = createColdAllowance({
+		clock, self: self.id, instances: () => instances().map(({id}) => id), knowsPeers,
+	});
 	const newcomers = createNewcomers(clock, self.id, () => instances().filter(({region}) => region === self.region).map(({id}) => id));
 	const roundTrips = new Map<AvailabilityZoneName, number>();
 	const work = new Map<string, WorkEstimate>();
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -160,6 +160,7 @@
 		self: {id: 'instance-1', region: 'south', availabilityZone: 'south-a'},
 		regionOfZone: () => new Map([['south-a', 'south'], ['north-a', 'north']]),
 		instances: () => [{id: 'instance-1', region: 'south', requestsPerSecond: 1}],
+		knowsPeers: () => true,
 		serviceOf: () => undefined,
 		largestShift: () => 0.15,
 	});
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -59,6 +59,8 @@
 const heartbeatMs = 700;
 const suspectMs = 2100;
 const forgetMs = 10_000;
+/** Time after the start in which peers may still be unknown: reading their list and a few rounds of heartbeats. */
+const peersKnownAfterMs = 3000;
 
 /**
  * Starts a gateway.
@@ -102,12 +104,15 @@
 		log,
 	});
 
+	const startedAtMs = clock();
+	const knowsPeers = () => clock() - startedAtMs > peersKnownAfterMs;
 	const aliveEntries = () => membership.members().filter(({health, state}) => health === 'alive' && state !== 'leaving');
 	const dispatcher = createDispatcher({
 		clock,
 		self,
 		regionOfZone: () => settings().process.zones,
 		instances: () => aliveEntries().map(({id, region, load}) => ({id, region, requestsPerSecond: load.requestsPerSecond})),
+		knowsPeers,
 		serviceOf: name => state.plan()?.services.get(name),
 		largestShift: () => bounds().largestShift,
 		random,
@@ -133,7 +138,7 @@
 		const allowance = allowances.get(service) ?? createRetryAllowance(clock, () => {
 			const {retryRatio, retryExtra, retryWindowMs} = bounds();
 			return {ratio: retryRatio, extra: retryExtra, windowMs: retryWindowMs};
-		}, () => membership.members().length);
+		}, () => knowsPeers() ? membership.members().length : Number.POSITIVE_INFINITY);
 		allowances.set(service, allowance);
 		return allowance;
 	};
