--- a/packages/dispatch/src/__tests__/keyPlaces.test.ts
+++ b/packages/dispatch/src/__tests__/keyPlaces.test.ts
@@ -12,46 +12,47 @@
 const idOf = (endpoint: TrackedEndpoint): string => endpoint.registered().endpoint.id;
 
 const question = (endpoints: readonly TrackedEndpoint[], more: Partial<KeyQuestion> = {}): KeyQuestion => ({
-	key: 'a', service: 'inventory', region: 'south', endpoints, mayServe: () => true, count: 2, ...more,
+	key: 'a', service: 'inventory', region: 'south', endpoints, mayServe: () => true, ...more,
 });
 
-/** Places by the order that all instances share. */
-const expectedPlaces = (endpoints: readonly TrackedEndpoint[], count: number): string[] => affinityOrder('a', endpoints.map(endpoint => ({id: idOf(endpoint), weight: endpoint.slots()}))).slice(0, count);
+/** Ids in the order that all instances share. */
+const sharedOrder = (endpoints: readonly TrackedEndpoint[]): string[] => affinityOrder('a', endpoints.map(endpoint => ({id: idOf(endpoint), weight: endpoint.slots()})));
 
-describe('the places of a key', () => {
-	test('are those of the order that all instances share', () => {
+describe('the place of a key', () => {
+	test('is the first of the order that all instances share', () => {
 		const endpoints = tracked(40);
-		expect(createKeyPlaces(() => 1).of(question(endpoints)).map(endpoint => idOf(endpoint))).toEqual(expectedPlaces(endpoints, 2));
+		expect(idOf(createKeyPlaces(() => 1).of(question(endpoints))!)).toBe(sharedOrder(endpoints)[0]);
 	});
 
-	test('pass over endpoints that may not serve, however many those are', () => {
+	test('passes over endpoints that may not serve, however many those are', () => {
 		const endpoints = tracked(40);
 		const places = createKeyPlaces(() => 1);
-		for (const out of [1, 7, 20, 39]) {
-			const gone = new Set(expectedPlaces(endpoints, out));
-			const found = places.of(question(endpoints, {mayServe: endpoint => !gone.has(idOf(endpoint))}));
-			expect(found.map(endpoint => idOf(endpoint))).toEqual(expectedPlaces(endpoints.filter(endpoint => !gone.has(idOf(endpoint))), 2));
+		for (let out = 0; out < 40; out++) {
+			const gone = new Set(sharedOrder(endpoints).slice(0, out));
+			expect(idOf(places.of(question(endpoints, {mayServe: endpoint => !gone.has(idOf(endpoint))}))!)).toBe(sharedOrder(endpoints)[out]);
 		}
+
+		expect(places.of(question(endpoints, {mayServe: () => false}))).toBeUndefined();
 	});
 
-	test('follow a change of the endpoints', () => {
+	test('follows a change of the endpoints', () => {
 		const endpoints = tracked(12);
 		let version = 1;
 		const places = createKeyPlaces(() => version);
-		const [first] = places.of(question(endpoints));
+		const first = places.of(question(endpoints));
 		const rest = endpoints.filter(endpoint => endpoint !== first);
 		version += 1;
-		expect(places.of(question(rest)).map(endpoint => idOf(endpoint))).toEqual(expectedPlaces(rest, 2));
+		expect(idOf(places.of(question(rest))!)).toBe(sharedOrder(rest)[0]);
 	});
 
-	test('differ between services and regions with other endpoints', () => {
+	test('differs between services and regions with other endpoints', () => {
 		const [south, north] = [tracked(5), tracked(9).slice(5)];
 		const places = createKeyPlaces(() => 1);
-		expect(south).toContain(places.of(question(south))[0]);
-		expect(north).toContain(places.of(question(north, {region: 'north'}))[0]);
+		expect(south).toContain(places.of(question(south)));
+		expect(north).toContain(places.of(question(north, {region: 'north'})));
 	});
 
-	test('are none without endpoints', () => {
-		expect(createKeyPlaces(() => 1).of(question([]))).toEqual([]);
+	test('is none without endpoints', () => {
+		expect(createKeyPlaces(() => 1).of(question([]))).toBeUndefined();
 	});
 });
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -58,10 +58,10 @@
 	readonly step: () => void;
 };
 
-/** A request's key and the endpoints of a region that keep it warm, first choice first. */
+/** A request's key and the endpoint of a region that keeps it warm, where there are both. */
 type KeyPlace = {
 	readonly key: string | undefined;
-	readonly copies: readonly TrackedEndpoint[];
+	readonly own: TrackedEndpoint | undefined;
 	readonly endpoints: readonly TrackedEndpoint[];
 };
 
@@ -69,8 +69,8 @@
 const firstSameRegionMs = 2;
 const firstOtherRegionMs = 60;
 const roundTripWeight = 0.2;
-/** How likely the endpoints that keep a key, first choice first, are warm for it, whoever sent it there. */
-const copyWarmth = [0.95] as const;
+/** How likely the endpoint that keeps a key is warm for it, whoever sent it there. */
+const ownWarmth = 0.95;
 /** The same for an endpoint that lately got the key from this instance. */
 const seenWarmth = 0.85;
 /** Likelihood from which an answer's time counts as that of warm work. */
@@ -148,34 +148,36 @@
 		return affinityOrder(keyOf(request) ?? String(random()), [...regions].map(region => ({id: region, weight: current.get(region) ?? 0})));
 	};
 
-	const warmthOf = (candidate: TrackedEndpoint, key: string | undefined, copies: readonly TrackedEndpoint[]): number => {
-		const rank = copies.indexOf(candidate);
-		const assumed = rank === -1 ? 0 : copyWarmth[rank]!;
-		return key !== undefined && candidate.keys.has(key) ? Math.max(seenWarmth, assumed) : assumed;
+	const warmthOf = (candidate: TrackedEndpoint, {key, own}: KeyPlace): number => {
+		if (candidate === own) {
+			return ownWarmth;
+		}
+
+		return key !== undefined && candidate.keys.has(key) ? seenWarmth : 0;
 	};
 
-	/** A request's key with the endpoints of a region that keep it warm. */
+	/** A request's key with the endpoint of a region that keeps it warm. */
 	const placeIn = (request: DispatchedRequest, region: RegionName): KeyPlace => {
 		const endpoints = pool.usable(request.service).get(region) ?? [];
 		const key = keyOf(request);
-		const copies = key === undefined
-			? []
+		const own = key === undefined
+			? undefined
 			: places.of({
-				key, service: request.service, region, endpoints, mayServe: endpoint => mayServe(endpoint, request), count: copyWarmth.length,
+				key, service: request.service, region, endpoints, mayServe: endpoint => mayServe(endpoint, request),
 			});
-		return {key, copies, endpoints};
+		return {key, own, endpoints};
 	};
 
-	const evaluate = (request: DispatchedRequest, {key, copies}: KeyPlace, endpoints: readonly TrackedEndpoint[]): Candidate[] => {
+	const evaluate = (request: DispatchedRequest, place: KeyPlace, endpoints: readonly TrackedEndpoint[]): Candidate[] => {
 		const work = workOf(request.route);
 		const warmMs = work.warmMs();
 		const coldMs = work.coldMs();
 		const meanWorkMs = meanWorkOf(request.service);
 		return endpoints.map(endpoint => {
-			const warmth = warmthOf(endpoint, key, copies);
+			const warmth = warmthOf(endpoint, place);
 			return {
 				endpoint,
-				isCopy: key === undefined || copies.includes(endpoint),
+				isOwn: place.key === undefined || endpoint === place.own,
 				isWarm: warmth >= warmFrom,
 				estimate: estimateCompletion({
 					endpoint, roundTripMs: roundTripMs(endpoint.registered().endpoint.availabilityZone), warmMs, coldMs, warmth, meanWorkMs,
@@ -187,9 +189,9 @@
 	/** Endpoints of a region that may serve a request, with their estimates; only the key's own one where that is at ease. */
 	const evaluateRegion = (request: DispatchedRequest, region: RegionName, room: Room): Candidate[] => {
 		const place = placeIn(request, region);
-		const [first] = evaluate(request, place, place.copies.slice(0, 1));
-		return first !== undefined && isAtEase(first, room)
-			? [first]
+		const [own] = place.own === undefined ? [] : evaluate(request, place, [place.own]);
+		return own !== undefined && isAtEase(own, room)
+			? [own]
 			: evaluate(request, place, place.endpoints.filter(endpoint => mayServe(endpoint, request)));
 	};
 
--- a/packages/dispatch/src/endpointChoice.ts
+++ b/packages/dispatch/src/endpointChoice.ts
@@ -1,6 +1,6 @@
 /**
  * Choice among endpoints of one region. While all is calm, a request goes where it is answered first. When
- * endpoints fill up, a key stays with the endpoints that keep it warm: a cold run takes a slot for several
+ * endpoints fill up, a key stays with the endpoint that keeps it warm: a cold run takes a slot for several
  * times as long and pushes other keys out, so that a full service that spreads its keys grows fuller. What
  * does not fit is refused, and a queue is no longer than what can still be answered in time.
  */
@@ -12,8 +12,8 @@
 export type Candidate = {
 	readonly endpoint: TrackedEndpoint;
 	readonly estimate: CompletionEstimate;
-	/** Whether it is one of the endpoints that keep the request's key warm; all are for requests without key. */
-	readonly isCopy: boolean;
+	/** Whether it is the endpoint that keeps the request's key warm; all are for requests without key. */
+	readonly isOwn: boolean;
 	/** Whether its answer's time will count as that of warm work. */
 	readonly isWarm: boolean;
 };
@@ -88,4 +88,4 @@
  * @returns The candidate with the least cost that takes the request; `undefined` where none does.
  */
 export const chooseWithin = (candidates: readonly Candidate[], room: Room): Candidate | undefined => cheapest(candidates
-	.filter(candidate => isAcceptable(candidate, room) && (candidate.isCopy || hasSpareSlots(candidate))));
+	.filter(candidate => isAcceptable(candidate, room) && (candidate.isOwn || hasSpareSlots(candidate))));
--- a/packages/dispatch/src/keyPlaces.ts
+++ b/packages/dispatch/src/keyPlaces.ts
@@ -1,7 +1,6 @@
 /**
- * The endpoints of a region that keep a key warm, first choice first. All instances with the same view agree on them.
- * The order of a key's endpoints is kept until the endpoints change: a service has hundreds of them, a request has a few
- * microseconds.
+ * The endpoint of a region that keeps a key warm. All instances with the same view agree on it. The order of a key's
+ * endpoints is kept until the endpoints change: a service has hundreds of them, a request has a few microseconds.
  */
 import type {RegionName} from '@filbertwell/types/place';
 import {affinityScore} from './affinityOrder.js';
@@ -9,18 +8,17 @@
 
 /** Places of keys. */
 export type KeyPlaces = {
-	/** The first endpoints of a key that a request may use; endpoints are those of a service in a region. */
-	readonly of: (question: KeyQuestion) => readonly TrackedEndpoint[];
+	/** The first of a key's endpoints that a request may use; `undefined` where it may use none. */
+	readonly of: (question: KeyQuestion) => TrackedEndpoint | undefined;
 };
 
-/** A key and the endpoints among which it has its places. */
+/** A key and the endpoints among which it has its place: those of a service in a region. */
 export type KeyQuestion = {
 	readonly key: string;
 	readonly service: string;
 	readonly region: RegionName;
 	readonly endpoints: readonly TrackedEndpoint[];
 	readonly mayServe: (endpoint: TrackedEndpoint) => boolean;
-	readonly count: number;
 };
 
 /** Endpoints of a key that are kept in order; more are looked for only while all of these are out. */
@@ -65,10 +63,9 @@
 
 	return {
 		of(question) {
-			const {key, endpoints, mayServe, count} = question;
-			const usable = firstRanks(question).filter(endpoint => mayServe(endpoint));
-			const isEnough = usable.length >= count || endpoints.length <= keptRanks;
-			return (isEnough ? usable : rank(key, endpoints.filter(endpoint => mayServe(endpoint)))).slice(0, count);
+			const {key, endpoints, mayServe} = question;
+			const first = firstRanks(question).find(endpoint => mayServe(endpoint));
+			return first ?? (endpoints.length > keptRanks ? rank(key, endpoints).find(endpoint => mayServe(endpoint)) : undefined);
 		},
 	};
 };
