--- a/packages/gateway/src/__tests__/forwarding.test.ts
+++ b/packages/gateway/src/__tests__/forwarding.test.ts
@@ -1,40 +1,20 @@
-import {once} from 'node:events';
 import {connect} from 'node:net';
 import {
 	afterEach, describe, expect, test, vi,
 } from 'vitest';
 import {
-	call, type GatewayFixture, type RawAnswer, type RawEndpoint, startGatewayFixture, startRawEndpoint, wholeAnswer,
+	call, closeGateways, type RawAnswer, sendsTo, startGateway, whole, wholeAnswer,
 } from './gatewayFixture.js';
 
-const running: Array<{readonly close: () => void}> = [];
-
-afterEach(() => {
-	for (const part of running.splice(0)) {
-		part.close();
-	}
-});
-
-const start = async (answers: readonly RawAnswer[], options?: Parameters<typeof startGatewayFixture>[1]): Promise<{readonly gateway: GatewayFixture; readonly endpoints: readonly RawEndpoint[]}> => {
-	const endpoints = await Promise.all(answers.map(async (answer, index) => startRawEndpoint(`endpoint-${index}`, answer)));
-	const gateway = await startGatewayFixture(endpoints, options);
-	running.push(gateway);
-	return {gateway, endpoints};
-};
-
-const whole: RawAnswer = (socket, request) => {
-	socket.write(wholeAnswer(request, 'fine'));
-};
+afterEach(closeGateways);
 
 const refuses: RawAnswer = (socket, request) => {
 	socket.write(wholeAnswer(request, '', {status: '503 Service Unavailable', more: 'X-Not-Run: 1\r\n'}));
 };
 
-const sendsTo = (endpoints: readonly RawEndpoint[]) => endpoints.reduce((sum, {received}) => sum + received.length, 0);
-
 describe('an answer', () => {
 	test('passes unchanged, and the request with what the endpoint must know', async () => {
-		const {gateway, endpoints} = await start([whole]);
+		const {gateway, endpoints} = await startGateway([whole]);
 		const answer = await call(gateway.port, {method: 'PUT', path: '/a/b?c=%2F', body: 'four'});
 		expect(answer).toMatchObject({status: 200, body: 'fine'});
 		expect(answer.headers['x-stamp']).toBe('s');
@@ -81,13 +61,13 @@
 			(spoils >= 0 ? spoil : whole)(socket, request);
 		};
 
-		const {gateway, endpoints} = await start([once, once]);
+		const {gateway, endpoints} = await startGateway([once, once]);
 		expect(await call(gateway.port)).toMatchObject({status: 200, body: 'fine'});
 		expect(sendsTo(endpoints)).toBe(2);
 	});
 
 	test.each(spoiled)('%s ends a request that must run at most once, without a promise', async (_, spoil) => {
-		const {gateway, endpoints} = await start([spoil, spoil], {route: {kind: 'atMostOnce'}});
+		const {gateway, endpoints} = await startGateway([spoil, spoil], {route: {kind: 'atMostOnce'}});
 		const answer = await call(gateway.port, {method: 'POST', body: 'x'});
 		expect([502, 504]).toContain(answer.status);
 		expect(answer.headers['retry-after']).toBeUndefined();
@@ -95,7 +75,7 @@
 	});
 
 	test('without a length passes without one', async () => {
-		const {gateway} = await start([(socket, request) => {
+		const {gateway} = await startGateway([(socket, request) => {
 			socket.end(`HTTP/1.1 200 OK\r\nX-Id: ${request.id}\r\nX-Stamp: s\r\n\r\nuntil the end`);
 		}]);
 		const answer = await call(gateway.port);
@@ -105,7 +85,7 @@
 	});
 
 	test('followed by more bytes is the last on its connection', async () => {
-		const {gateway, endpoints} = await start([(socket, request) => {
+		const {gateway, endpoints} = await startGateway([(socket, request) => {
 			socket.write(wholeAnswer(request, 'fine'));
 			setTimeout(() => {
 				socket.write(wholeAnswer({...request, id: 'id-x'}, 'late'));
@@ -120,14 +100,14 @@
 	});
 
 	test('of an endpoint that promises not to have run, without its mark, is no promise to the caller', async () => {
-		const {gateway} = await start([(socket, request) => {
+		const {gateway} = await startGateway([(socket, request) => {
 			socket.write(wholeAnswer(request, '', {status: '503 Service Unavailable'}));
 		}], {route: {kind: 'atMostOnce'}});
 		expect(await call(gateway.port, {method: 'POST', body: 'x'})).toMatchObject({status: 502});
 	});
 
 	test('with a failure passes unchanged', async () => {
-		const {gateway} = await start([(socket, request) => {
+		const {gateway} = await startGateway([(socket, request) => {
 			socket.write(wholeAnswer(request, 'broken', {status: '500 Internal Server Error'}));
 		}], {route: {kind: 'atMostOnce'}});
 		const answer = await call(gateway.port, {method: 'POST', body: 'x'});
@@ -144,13 +124,13 @@
 			(refusals >= 0 ? refuses : whole)(socket, request);
 		};
 
-		const {gateway, endpoints} = await start([refusesOnce, refusesOnce], {route: {kind}});
+		const {gateway, endpoints} = await startGateway([refusesOnce, refusesOnce], {route: {kind}});
 		expect(await call(gateway.port, {method: 'POST', body: 'x'})).toMatchObject({status: 200});
 		expect(sendsTo(endpoints)).toBe(2);
 	});
 
 	test('anywhere is refused with a time to come back', async () => {
-		const {gateway, endpoints} = await start([refuses, refuses, refuses, refuses], {route: {kind: 'atMostOnce', maximumAttempts: 2}});
+		const {gateway, endpoints} = await startGateway([refuses, refuses, refuses, refuses], {route: {kind: 'atMostOnce', maximumAttempts: 2}});
 		const answer = await call(gateway.port, {method: 'POST', body: 'x'});
 		expect(answer.status).toBe(503);
 		expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
@@ -158,7 +138,7 @@
 	});
 
 	test('is refused at once where no repeat is left', async () => {
-		const {gateway, endpoints} = await start([refuses, refuses], {repeats: 0});
+		const {gateway, endpoints} = await startGateway([refuses, refuses], {repeats: 0});
 		expect(await call(gateway.port)).toMatchObject({status: 503});
 		expect(sendsTo(endpoints)).toBe(1);
 	});
@@ -168,7 +148,7 @@
 			socket.write(wholeAnswer(request, '', {status: '421 Misdirected Request'}));
 		};
 
-		const {gateway, endpoints} = await start([misdirected, whole]);
+		const {gateway, endpoints} = await startGateway([misdirected, whole]);
 		for (let index = 0; index < 6; index++) {
 			expect(await call(gateway.port)).toMatchObject({status: 200}); // eslint-disable-line no-await-in-loop
 		}
@@ -177,21 +157,21 @@
 	});
 
 	test('since no endpoint listens goes elsewhere without using up attempts', async () => {
-		const {gateway, endpoints} = await start([whole, whole, whole], {route: {kind: 'atMostOnce', maximumAttempts: 1}, repeats: 0});
+		const {gateway, endpoints} = await startGateway([whole, whole, whole], {route: {kind: 'atMostOnce', maximumAttempts: 1}, repeats: 0});
 		endpoints[0]!.close();
 		endpoints[1]!.close();
 		expect(await call(gateway.port, {method: 'POST', body: 'x'})).toMatchObject({status: 200});
 	});
 
 	test('before the first plan is refused, not denied', async () => {
-		const {gateway} = await start([whole], {hasPlan: false});
+		const {gateway} = await startGateway([whole], {hasPlan: false});
 		expect(await call(gateway.port)).toMatchObject({status: 503});
 	});
 });
 
 describe('limits in time', () => {
 	test('the route\'s timeout ends a request that was sent, and its endpoint learns it', async () => {
-		const {gateway, endpoints} = await start([() => undefined], {route: {timeoutMs: 150, latencyTargetMs: 100}});
+		const {gateway, endpoints} = await startGateway([() => undefined], {route: {timeoutMs: 150, latencyTargetMs: 100}});
 		expect(await call(gateway.port)).toMatchObject({status: 504});
 		await vi.waitFor(() => {
 			expect(endpoints[0]!.closed()).toBe(1);
@@ -199,7 +179,7 @@
 	});
 
 	test('a caller that leaves ends an idempotent request at its endpoint', async () => {
-		const {gateway, endpoints} = await start([() => undefined]);
+		const {gateway, endpoints} = await startGateway([() => undefined]);
 		const socket = connect(gateway.port, '127.0.0.1');
 		socket.write('GET /a HTTP/1.1\r\nHost: shop.example\r\nX-Id: gone\r\n\r\n');
 		await vi.waitFor(() => {
@@ -211,91 +191,3 @@
 		});
 	});
 });
-
-describe('a caller\'s connection', () => {
-	const pipelined = 'GET /1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: shop.example\r\nX-Id: b\r\n\r\n';
-
-	test('gets the answers in the order of its requests', async () => {
-		const {gateway} = await start([(socket, request) => {
-			setTimeout(() => {
-				socket.write(wholeAnswer(request, `for ${request.id}`));
-			}, request.id === 'a' ? 60 : 1);
-		}]);
-		const socket = connect(gateway.port, '127.0.0.1');
-		let text = '';
-		socket.on('data', chunk => {
-			text += chunk.toString('latin1');
-		});
-		socket.write(pipelined);
-		await vi.waitFor(() => {
-			expect(text).toContain('for b');
-		});
-		expect(text.indexOf('for a')).toBeLessThan(text.indexOf('for b'));
-		socket.destroy();
-	});
-
-	test('is closed by a leaving instance only after the last of its answers', async () => {
-		const {gateway} = await start([(socket, request) => {
-			setTimeout(() => {
-				socket.write(wholeAnswer(request, `for ${request.id}`));
-			}, request.id === 'a' ? 1 : 60);
-		}], {isLeaving: () => true});
-		const socket = connect(gateway.port, '127.0.0.1');
-		let text = '';
-		let hasEnded = false;
-		socket.on('data', chunk => {
-			text += chunk.toString('latin1');
-		});
-		socket.on('end', () => {
-			hasEnded = true;
-		});
-		socket.write(pipelined);
-		await vi.waitFor(() => {
-			expect(hasEnded).toBe(true);
-		});
-		expect(text).toContain('for a');
-		expect(text).toContain('for b');
-	});
-
-	test('that crosses the close of its idle connection is not passed on', async () => {
-		const {gateway, endpoints} = await start([whole]);
-		const socket = connect({port: gateway.port, host: '127.0.0.1', allowHalfOpen: true});
-		socket.on('error', () => undefined);
-		socket.resume();
-		await call(gateway.port);
-		gateway.server.closeIdle();
-		await once(socket, 'end');
-		socket.write('PUT /late HTTP/1.1\r\nHost: shop.example\r\nX-Id: late\r\n\r\n');
-		await vi.waitFor(() => {
-			expect(gateway.logged).toContain('requestNotRead');
-		});
-		socket.destroy();
-		expect(endpoints[0]!.received.map(({id}) => id)).not.toContain('late');
-	});
-
-	test('that comes behind a connection\'s last answer is not passed on', async () => {
-		const {gateway, endpoints} = await start([(socket, request) => {
-			socket.write(wholeAnswer(request, 'last'));
-		}], {isLeaving: () => true});
-		const socket = connect({port: gateway.port, host: '127.0.0.1', allowHalfOpen: true});
-		socket.on('error', () => undefined);
-		socket.once('data', () => {
-			socket.write('PUT /late HTTP/1.1\r\nHost: shop.example\r\nX-Id: late\r\n\r\n');
-		});
-
-		socket.write('GET /1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: first\r\n\r\n');
-		await once(socket, 'end');
-		socket.destroy();
-		expect(endpoints[0]!.received.map(({id}) => id)).toEqual(['first']);
-	});
-
-	test.each([
-		['a path that no route has', 404, {path: '/a', headers: {host: 'nowhere.example'}}],
-		['a body over the limit', 413, {method: 'PUT', body: 'x'.repeat(1001)}],
-		['a header block over the limit', 431, {headers: {'x-long': 'y'.repeat(9000)}}],
-	] as const)('with %s is refused with %i', async (_, status, request) => {
-		const {gateway, endpoints} = await start([whole]);
-		expect(await call(gateway.port, request)).toMatchObject({status});
-		expect(sendsTo(endpoints)).toBe(0);
-	});
-});
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -237,3 +237,34 @@
 	outgoing.once('error', failed);
 	outgoing.end(body);
 });
+
+/** Answers every request. */
+export const whole: RawAnswer = (socket, request) => {
+	socket.write(wholeAnswer(request, 'fine'));
+};
+
+/** Requests that reached some endpoints. */
+export const sendsTo = (endpoints: readonly RawEndpoint[]) => endpoints.reduce((sum, {received}) => sum + received.length, 0);
+
+const running: GatewayFixture[] = [];
+
+/**
+ * Starts a caller's server before endpoints that answer as given.
+ *
+ * @param answers - One for each endpoint.
+ * @param options - Route and limits.
+ * @returns The server and its endpoints; `closeGateways` closes them.
+ */
+export const startGateway = async (answers: readonly RawAnswer[], options?: Parameters<typeof startGatewayFixture>[1]): Promise<{readonly gateway: GatewayFixture; readonly endpoints: readonly RawEndpoint[]}> => {
+	const endpoints = await Promise.all(answers.map(async (answer, index) => startRawEndpoint(`endpoint-${index}`, answer)));
+	const gateway = await startGatewayFixture(endpoints, options);
+	running.push(gateway);
+	return {gateway, endpoints};
+};
+
+/** Closes what `startGateway` started. */
+export const closeGateways = (): void => {
+	for (const gateway of running.splice(0)) {
+		gateway.close();
+	}
+};
