Endpoints of a zone that is taken back count as cold until they have told

Change: such endpoints count as cold for 2.5 s, a heartbeat with its delay; their registrations replace that. The pool keeps a copy of the evacuated zones: the follower goes on changing its set. Test: 'spares the endpoints of a zone that is taken back' failed first (9 sends in a second, at most 2).

--- a/packages/dispatch/src/__tests__/dispatcher.test.ts
+++ b/packages/dispatch/src/__tests__/dispatcher.test.ts
@@ -64,6 +64,21 @@
 		expect(chosen()).not.toBe(own);
 	});
 
+	test('spares the endpoints of a zone that is taken back, until they have told whether they are cold', () => {
+		const {chosen, dispatcher, clock} = createFixture([south[2]!], ['south-b']);
+		expect(chosen()).toBe('noEndpoint');
+		dispatcher.configure(registeredById([south[2]!]), new Set());
+		const sends = Array.from({length: 20}, (_, index) => {
+			clock.advance(50);
+			return chosen({affinityKey: `key-${index}`});
+		}).filter(id => id === 's3');
+		expect(sends.length).toBeGreaterThan(0);
+		expect(sends.length).toBeLessThanOrEqual(2);
+		clock.advance(2500);
+		expect(chosen()).toBe('s3');
+		expect(chosen()).toBe('s3');
+	});
+
 	test('falls on a region that has just got its first endpoint', () => {
 		const {chosen, dispatcher} = createFixture([]);
 		expect(chosen()).toBe('noEndpoint');
--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -19,6 +19,12 @@
 	readonly regionOf: (zone: AvailabilityZoneName) => RegionName;
 };
 
+/**
+ * Time for which endpoints of a zone that is taken back count as cold, in milliseconds. They may have become cold while
+ * nobody heard of it, and register that within a heartbeat and its delay, after an outage of the store within about 2 s.
+ */
+const unknownColdMs = 2500;
+
 const noEndpoints: ReadonlyMap<RegionName, readonly TrackedEndpoint[]> = new Map();
 
 /**
@@ -60,7 +66,9 @@
 
 	return {
 		configure(registered, evacuated) {
-			evacuatedZones = evacuated;
+			const takenBack = new Set([...evacuatedZones].filter(zone => !evacuated.has(zone)));
+			// The caller may go on changing its set.
+			evacuatedZones = new Set(evacuated);
 			for (const id of tracked.keys()) {
 				if (!registered.has(id)) {
 					tracked.delete(id);
@@ -77,6 +85,12 @@
 				}
 			}
 
+			for (const known of tracked.values()) {
+				if (takenBack.has(known.registered().endpoint.availabilityZone)) {
+					known.assumeCold(unknownColdMs);
+				}
+			}
+
 			arrange();
 		},
 		usable: service => usableByService.get(service) ?? noEndpoints,
--- a/packages/dispatch/src/trackedEndpoint.ts
+++ b/packages/dispatch/src/trackedEndpoint.ts
@@ -45,6 +45,8 @@
 	readonly overdueMs: () => number;
 	readonly isEjected: () => boolean;
 	readonly isCold: () => boolean;
+	/** Takes it for cold for a while, until its registration says how long it is. */
+	readonly assumeCold: (milliseconds: number) => void;
 	readonly keys: RecentKeys;
 	readonly start: (expectedMs: number) => Flight;
 	readonly end: (flight: Flight, result: SendResult) => void;
@@ -147,6 +149,9 @@
 		},
 		isEjected: () => ejectedUntilMs > clock(),
 		isCold: () => coldUntilMs > clock(),
+		assumeCold(milliseconds) {
+			coldUntilMs = Math.max(coldUntilMs, clock() + milliseconds);
+		},
 		keys,
 		start(expectedMs) {
 			const flight = {startedAtMs: clock(), expectedMs};
