--- a/packages/dispatch/src/keyPlaces.ts
+++ b/packages/dispatch/src/keyPlaces.ts
@@ -3,7 +3,7 @@
  * endpoints is kept until the endpoints change: a service has hundreds of them, a request has a few microseconds.
  */
 import type {RegionName} from '@filbertwell/types/place';
-import {affinityScore} from './affinityOrder.js';
+import {affinityOrder} from './affinityOrder.js';
 import type {TrackedEndpoint} from './trackedEndpoint.js';
 
 /** Places of keys. */
@@ -26,10 +26,10 @@
 /** Keys that are remembered; the rest of a larger set is ordered anew each time. */
 const rememberedKeys = 4000;
 
-const rank = (key: string, endpoints: readonly TrackedEndpoint[]): TrackedEndpoint[] => endpoints
-	.map(endpoint => ({endpoint, score: affinityScore(key, {id: endpoint.registered().endpoint.id, weight: endpoint.slots()})}))
-	.toSorted((a, b) => b.score - a.score)
-	.map(({endpoint}) => endpoint);
+const rank = (key: string, endpoints: readonly TrackedEndpoint[]): TrackedEndpoint[] => {
+	const byId = new Map(endpoints.map(endpoint => [endpoint.registered().endpoint.id, endpoint]));
+	return affinityOrder(key, [...byId].map(([id, endpoint]) => ({id, weight: endpoint.slots()}))).map(id => byId.get(id)!);
+};
 
 /**
  * Creates the places.
