--- a/packages/dispatch/src/coldAllowance.ts
+++ b/packages/dispatch/src/coldAllowance.ts
@@ -12,8 +12,6 @@
 	readonly mayTake: (endpointId: string, requestsPerSecond: number) => boolean;
 	/** Counts a request that is sent. */
 	readonly take: (endpointId: string, requestsPerSecond: number) => void;
-	/** Forgets an endpoint that is warm or gone. */
-	readonly forget: (endpointId: string) => void;
 };
 
 /** Instances that send to one cold endpoint: two, so that it warms up though one of them is cut off. */
@@ -71,8 +69,5 @@
 		take(endpointId, requestsPerSecond) {
 			bucketOf(endpointId, requestsPerSecond).tryTake(1);
 		},
-		forget(endpointId) {
-			buckets.delete(endpointId);
-		},
 	};
 };
