--- a/packages/discovery/src/__tests__/planFollower.test.ts
+++ b/packages/discovery/src/__tests__/planFollower.test.ts
@@ -11,6 +11,7 @@
 	limits: {
 		maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 	},
+	unknownRouteKinds: [],
 });
 
 const decode: DecodeOperatorRow = ({key, value}) => {
@@ -33,6 +34,16 @@
 		expect(follower.plan()?.version).toBe(12);
 	});
 
+	test('is accepted with routes of unknown kinds, which are logged once for the version', () => {
+		const logged: string[] = [];
+		const follower = createPlanFollower(() => ok({kind: 'plan', plan: {...plan(3), unknownRouteKinds: ['stream']}}), event => {
+			logged.push(event.name);
+		});
+		follower.apply([{key: 'plan', value: '3'}, {key: 'plan', value: '3'}]);
+		expect(follower.plan()?.version).toBe(3);
+		expect(logged.filter(name => name === 'routeKindUnknown')).toHaveLength(1);
+	});
+
 	test('is not replaced if a row is invalid', () => {
 		const follower = createPlanFollower(decode, silentLogger);
 		follower.apply([{key: 'plan', value: '12'}, {key: 'plan', value: 'spoiled'}]);
--- a/packages/discovery/src/planFollower.ts
+++ b/packages/discovery/src/planFollower.ts
@@ -47,6 +47,10 @@
 		log(discoveryEvents.planInForce, {
 			version: next.version, previous: plan?.version, routes: next.routes.length, services: next.services.size,
 		});
+		if (next.unknownRouteKinds.length > 0) {
+			log(discoveryEvents.routeKindUnknown, {version: next.version, kinds: next.unknownRouteKinds.join(', ')});
+		}
+
 		plan = next;
 	};
 
--- a/packages/dispatch/src/__tests__/routing.test.ts
+++ b/packages/dispatch/src/__tests__/routing.test.ts
@@ -9,6 +9,7 @@
 	version: 1,
 	routes,
 	services: new Map(),
+	unknownRouteKinds: [],
 	limits: {
 		maximumHeaderBytes: 16_384, maximumBodyBytes: 1024, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 	},
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -139,12 +139,15 @@
 	return port;
 };
 
-export const startGatewayFixture = async (endpoints: readonly RawEndpoint[], {route = {}, extraRetries = 100, isShuttingDown = () => false, hasPlan = true}: {
+export const startGatewayFixture = async (endpoints: readonly RawEndpoint[], {
+	route = {}, extraRetries = 100, isShuttingDown = () => false, hasPlan = true, isPlanOutdated = () => false,
+}: {
 	readonly route?: Partial<PlannedRoute>;
 	/** Retry budget in addition to the ratio, which is 0. */
 	readonly extraRetries?: number;
 	readonly isShuttingDown?: () => boolean;
 	readonly hasPlan?: boolean;
+	readonly isPlanOutdated?: () => boolean;
 } = {}): Promise<GatewayFixture> => {
 	const plan: TrafficPlan = {
 		version: 1,
@@ -153,6 +156,7 @@
 		limits: {
 			maximumHeaderBytes: 8192, maximumBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
+		unknownRouteKinds: [],
 	};
 	const random = createRandom(5);
 	const dispatcher = createDispatcher({
@@ -175,6 +179,8 @@
 		clock,
 		headers: testHeaders,
 		plan: () => hasPlan ? plan : undefined,
+		planAgeMs: () => 0,
+		isPlanOutdated,
 		forward: createForwardRequest({
 			clock, random, dispatcher, client: createEndpointClient(connectionPool, testHeaders), retryBudgetOf: () => retryBudget, log: silentLogger,
 		}),
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -21,6 +21,7 @@
 	/** Registers a request; `undefined` if the connection is closing and can't carry a response any more. */
 	readonly beginRequest: (socket: Socket) => OpenRequest | undefined;
 	readonly openRequestCount: () => number;
+	readonly hasOpenRequest: (socket: Socket) => boolean;
 	/** Closes all connections without an open request. */
 	readonly closeIdle: () => void;
 };
@@ -76,6 +77,7 @@
 			};
 		},
 		openRequestCount: () => openRequestCount,
+		hasOpenRequest: socket => (requestsBySocket.get(socket)?.size ?? 0) > 0,
 		closeIdle() {
 			for (const [socket, requests] of requestsBySocket) {
 				if (requests.size === 0) {
--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -5,6 +5,7 @@
 import type {ServerResponse} from 'node:http';
 import {endToEndHeaders} from '@filbertwell/entry/hopByHopHeaders';
 import type {EndpointResponse} from './endpointClient.js';
+import type {PartialBody} from './responseBody.js';
 
 /** A response that the gateway generates itself. */
 export type GatewayResponse = {
@@ -48,27 +49,35 @@
 };
 
 /**
- * Forwards the response of an endpoint, without hop-by-hop and internal headers.
+ * Writes the head of an endpoint's response, and the body if it is complete.
  *
  * @param response - The caller's response; ignored if it is destroyed or its headers have been sent.
- * @param endpointResponse - The endpoint's complete response.
+ * @param endpointResponse - The endpoint's response.
  * @param internalHeaders - Names of further headers to remove, in lower case.
+ * @returns The body that remains to be written with `sendPartialBody`; `undefined` if there is none.
  */
-export const sendEndpointResponse = (response: ServerResponse, endpointResponse: EndpointResponse, internalHeaders: ReadonlySet<string>): void => {
+export const sendEndpointResponse = (response: ServerResponse, endpointResponse: EndpointResponse, internalHeaders: ReadonlySet<string>): PartialBody | undefined => {
+	const {body, isCloseDelimited, rawHeaders, status, statusText} = endpointResponse;
 	if (!canRespond(response)) {
-		return;
+		return body.kind === 'partial' ? body : undefined;
 	}
 
-	const headers = endToEndHeaders(endpointResponse.rawHeaders, internalHeaders);
-	if (endpointResponse.isCloseDelimited) {
+	const headers = endToEndHeaders(rawHeaders, internalHeaders);
+	const length = body.kind === 'whole' ? String(body.bytes.length) : body.rest.headers[contentLengthHeader];
+	if (isCloseDelimited) {
 		// The body may be truncated. A Content-Length header would make it look complete.
 		headers.push('Connection', 'close');
 		response.shouldKeepAlive = false;
 		response.useChunkedEncodingByDefault = false;
-	} else {
-		headers.push('Content-Length', String(endpointResponse.body.length));
+	} else if (length !== undefined) {
+		headers.push('Content-Length', length);
+	}
+
+	response.writeHead(status, statusText, headers);
+	if (body.kind === 'partial') {
+		return body;
 	}
 
-	response.writeHead(endpointResponse.status, endpointResponse.statusText, headers);
-	response.end(endpointResponse.body);
+	response.end(body.bytes);
+	return undefined;
 };
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -5,13 +5,11 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {Duplex} from 'node:stream';
 import type {Socket} from 'node:net';
 import {createRouteTable, type RouteTable} from '@filbertwell/dispatch/routeTable';
 import {createServiceSplit} from '@filbertwell/dispatch/serviceSplit';
 import {headerBytes} from '@filbertwell/entry/headerBytes';
 import {endToEndHeaders} from '@filbertwell/entry/hopByHopHeaders';
-import {entryEvents} from '@filbertwell/logger/events/entryEvents';
 import {gatewayEvents} from '@filbertwell/logger/events/gatewayEvents';
 import type {Logger} from '@filbertwell/logger/logger';
 import type {SocketAddress} from '@filbertwell/types/place';
@@ -24,6 +22,8 @@
 } from './callerRequest.js';
 import type {ForwardRequest, ForwardResult} from './forwardRequest.js';
 import type {GatewayHeaders} from './gatewayHeaders.js';
+import {sendPartialBody} from './largeResponse.js';
+import {createMalformedRequestHandler} from './malformedRequest.js';
 
 /** Dependencies of the server. */
 export type CallerServerOptions = {
@@ -32,6 +32,10 @@
 	readonly headers: GatewayHeaders;
 	/** The traffic plan in force; `undefined` until the first one has been received. */
 	readonly plan: () => TrafficPlan | undefined;
+	/** Time since the plan was last known to be the newest one, in milliseconds. */
+	readonly planAgeMs: () => number;
+	/** Whether a newer plan may exist that this instance should know. A request without a route is then rejected as not run. */
+	readonly isPlanOutdated: () => boolean;
 	readonly forward: ForwardRequest;
 	/** Whether the gateway is shutting down; each connection is then closed after its last response. */
 	readonly isShuttingDown: () => boolean;
@@ -53,12 +57,8 @@
 const parserHeaderLimitBytes = 262_144;
 /** Interval at which Node.js checks for timeouts; a shorter header timeout would have no effect. */
 const timeoutCheckIntervalMs = 1000;
-const missingPlanRetryAfterSeconds = 0.5;
-
-const clientErrorStatuses: ReadonlyMap<string | undefined, number> = new Map([
-	['HPE_HEADER_OVERFLOW', 431],
-	['ERR_HTTP_REQUEST_TIMEOUT', 408],
-]);
+/** Retry delay while the plan is missing or outdated: enough time to read it from the store or from a peer. */
+const outdatedPlanRetryAfterSeconds = 0.5;
 
 /**
  * Starts the server.
@@ -67,7 +67,7 @@
  * @returns The server once it is listening; rejects if it can't listen on the address.
  */
 export const startCallerServer = async (options: CallerServerOptions): Promise<CallerServer> => {
-	const {address, clock, headers, plan, forward, isShuttingDown, onRequestEnded, log} = options;
+	const {address, clock, headers, plan, planAgeMs, isPlanOutdated, forward, isShuttingDown, onRequestEnded, log} = options;
 	const connections = createCallerConnections();
 	const chooseService = createServiceSplit();
 	const omittedRequestHeaders = new Set([headers.deadline, headers.expectedEndpoint, 'content-length']);
@@ -84,27 +84,39 @@
 		return routeTable;
 	};
 
-	const refusal = (status: number, problem: string, details: Partial<GatewayResponse> = {}): ForwardResult => ({kind: 'own', response: {status, problem, ...details}});
+	const requestIdOf = ({headers: {[headers.requestId]: value}}: IncomingMessage): string | undefined => typeof value === 'string' && value !== '' ? value : undefined;
+
+	/** Rejects a request that is not forwarded. */
+	const reject = (request: IncomingMessage, status: number, problem: string, details: Partial<GatewayResponse> = {}): ForwardResult => {
+		log(gatewayEvents.requestRejected, {
+			request: requestIdOf(request), status, problem, host: request.headers.host, path: request.url, planVersion: plan()?.version, planAgeMs: Math.round(planAgeMs()),
+		});
+		return {kind: 'own', response: {status, problem, ...details}};
+	};
 
 	const handleRequest = async (request: IncomingMessage, arrivedAtMs: number, openRequest: OpenRequest): Promise<ForwardResult & {readonly route?: string}> => {
 		const currentPlan = plan();
 		if (currentPlan === undefined) {
-			return refusal(503, 'no traffic plan is in force yet; the request did not run', {retryAfterSeconds: missingPlanRetryAfterSeconds});
+			return reject(request, 503, 'no traffic plan is in force yet; the request did not run', {retryAfterSeconds: outdatedPlanRetryAfterSeconds});
 		}
 
 		const route = routeTableOf(currentPlan).routeOf(request.headers.host ?? '', request.url ?? '/');
 		if (route === undefined) {
 			request.resume();
-			return refusal(404, `no route matches host "${request.headers.host ?? ''}" and path "${request.url ?? ''}"`);
+			if (isPlanOutdated()) {
+				return reject(request, 503, 'no route matches, but the traffic plan may be outdated; the request did not run', {retryAfterSeconds: outdatedPlanRetryAfterSeconds});
+			}
+
+			return reject(request, 404, `no route matches host "${request.headers.host ?? ''}" and path "${request.url ?? ''}"`);
 		}
 
 		if (headerBytes(request.rawHeaders) > currentPlan.limits.maximumHeaderBytes) {
-			return refusal(431, `the header block is over ${currentPlan.limits.maximumHeaderBytes} bytes`, {closesConnection: true});
+			return reject(request, 431, `the header block is over ${currentPlan.limits.maximumHeaderBytes} bytes`, {closesConnection: true});
 		}
 
 		const bodyResult = await readWholeBody(request, currentPlan.limits);
 		if (bodyResult.kind !== 'whole') {
-			return bodyResult.kind === 'gone' ? {kind: 'gone'} : refusal(413, `the body is over ${currentPlan.limits.maximumBodyBytes} bytes`, {closesConnection: true});
+			return bodyResult.kind === 'gone' ? {kind: 'gone'} : reject(request, 413, `the body is over ${currentPlan.limits.maximumBodyBytes} bytes`, {closesConnection: true});
 		}
 
 		const {body} = bodyResult;
@@ -113,13 +125,12 @@
 			forwardedHeaders.push('Content-Length', String(body.length));
 		}
 
-		const requestId = request.headers[headers.requestId];
 		const result = await forward({
 			route,
 			service: chooseService(route),
 			affinityKey: affinityKeyOf(request.headers.cookie, headers.affinityCookie),
 			request: {
-				method: request.method ?? 'GET', path: request.url ?? '/', headers: forwardedHeaders, body, requestId: typeof requestId === 'string' ? requestId : undefined,
+				method: request.method ?? 'GET', path: request.url ?? '/', headers: forwardedHeaders, body, requestId: requestIdOf(request),
 			},
 			arrivedAtMs,
 			callerTimeoutMs: callerTimeoutMs(request, headers),
@@ -128,13 +139,42 @@
 		return {...result, route: route.name};
 	};
 
+	/** Writes the result to the caller. If the response has no length, closing the connection must not cut off other responses. */
+	const respond = async (request: IncomingMessage, response: ServerResponse, result: ForwardResult, isCutByClose: boolean): Promise<void> => {
+		if (result.kind === 'own') {
+			sendGatewayResponse(response, result.response);
+		}
+
+		if (result.kind !== 'endpoint') {
+			return;
+		}
+
+		const {response: endpointResponse, lifetime} = result;
+		if (isCutByClose) {
+			lifetime.abort();
+			sendGatewayResponse(response, {status: 502, problem: 'the endpoint\'s answer has no length; the request may have run'});
+			return;
+		}
+
+		const rest = sendEndpointResponse(response, endpointResponse, omittedResponseHeaders);
+		if (rest !== undefined) {
+			const problem = await sendPartialBody({
+				response, socket: request.socket, body: rest, signal: lifetime.signal,
+			});
+			lifetime.end();
+			if (problem !== undefined) {
+				log(gatewayEvents.responseCutOff, {request: requestIdOf(request), problem});
+			}
+		}
+	};
+
 	const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		const arrivedAtMs = clock();
 		const openRequest = connections.beginRequest(request.socket);
 		if (openRequest === undefined) {
 			// The request arrived while the connection was closing. The caller sees a closed connection without a response
 			// and can send the request to another instance.
-			log(gatewayEvents.requestNotRead, {request: String(request.headers[headers.requestId])});
+			log(gatewayEvents.requestNotRead, {request: requestIdOf(request)});
 			request.socket.destroy();
 			return;
 		}
@@ -149,16 +189,14 @@
 			response.shouldKeepAlive = false;
 		}
 
-		if (isCloseDelimited && !openRequest.isOnlyRequest()) {
-			// Closing the connection to mark the end of this body would also cut off the responses to the other requests.
-			sendGatewayResponse(response, {status: 502, problem: 'the endpoint\'s answer has no length; the request may have run'});
-		} else if (result.kind === 'endpoint') {
-			sendEndpointResponse(response, result.response, omittedResponseHeaders);
-		} else if (result.kind === 'own') {
-			sendGatewayResponse(response, result.response);
+		// A response is open until it has been handed to the operating system; a process that exits earlier would cut it off.
+		if (result.kind === 'gone' || response.closed) {
+			openRequest.end();
+		} else {
+			response.once('close', openRequest.end);
 		}
 
-		openRequest.end();
+		await respond(request, response, result, isCloseDelimited && !openRequest.isOnlyRequest());
 		onRequestEnded(result.route ?? 'none', clock() - arrivedAtMs, result.kind === 'gone' ? 'gone' : String(result.response.status));
 	};
 
@@ -170,16 +208,7 @@
 	server.on('connection', (socket: Socket) => {
 		connections.add(socket);
 	});
-	server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
-		log(entryEvents.malformedRequest, {code: error.code, detail: error.message});
-		if (!socket.writable || error.code === 'ECONNRESET') {
-			socket.destroy();
-			return;
-		}
-
-		const status = clientErrorStatuses.get(error.code) ?? 400;
-		socket.end(`HTTP/1.1 ${status} Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
-	});
+	server.on('clientError', createMalformedRequestHandler(connections, log));
 	server.listen(address.port, address.host);
 	await once(server, 'listening');
 
--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -30,6 +30,8 @@
 export type EndpointConnectionPool = {
 	/** Takes an idle connection from the pool or opens a new one. A failure is a result, not a rejection. */
 	readonly acquire: (address: EndpointAddress, timeoutMs: number) => Promise<EndpointConnection | ConnectFailure>;
+	/** Opens a new connection, on which no earlier request can be answered late. A failure is a result, not a rejection. */
+	readonly open: (address: EndpointAddress, timeoutMs: number) => Promise<EndpointConnection | ConnectFailure>;
 	/**
 	 * Returns a connection to the pool whose response has been read completely, or that was not used.
 	 * `keepAliveMs` is the idle timeout that the endpoint announced, if it did.
@@ -114,7 +116,7 @@
 	const openConnection = async ({host, port}: EndpointAddress, timeoutMs: number): Promise<EndpointConnection | ConnectFailure> => new Promise(resolve => {
 		const startedAtMs = clock();
 		const socket = connect({
-			host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs,
+			host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs, allowHalfOpen: true,
 		});
 		const timer = setTimeout(() => {
 			socket.destroy();
@@ -140,6 +142,7 @@
 			const idleSocket = acquireIdle(address.id);
 			return idleSocket === undefined ? openConnection(address, timeoutMs) : {socket: idleSocket, connectMs: undefined};
 		},
+		open: openConnection,
 		release({id}, socket, keepAliveMs) {
 			if (socket.destroyed || !socket.writable) {
 				return;
--- a/packages/gateway/src/forwardRequest.ts
+++ b/packages/gateway/src/forwardRequest.ts
@@ -15,6 +15,10 @@
 import type {
 	EndpointResponse, EndpointClient, EndpointRequest, SendOutcome,
 } from './endpointClient.js';
+import {startRequestLifetime, type RequestLifetime} from './requestLifetime.js';
+import {
+	createSendProgress, isRetryable, leaseResultOf, recordOutcome, type SendProgress,
+} from './sendProgress.js';
 
 /** A request to forward, with its route, its service and its time limits. */
 export type ForwardedRequest = {
@@ -31,11 +35,12 @@
 };
 
 /**
- * Result for the caller. `endpoint`: response of an endpoint. `own`: response of the gateway.
+ * Result for the caller. `endpoint`: response of an endpoint; its lifetime must be ended when a partial body has been
+ * forwarded, and ends by itself otherwise. `own`: response of the gateway.
  * `gone`: the caller disconnected, so there is no response.
  */
 export type ForwardResult =
-	| {readonly kind: 'endpoint'; readonly response: EndpointResponse}
+	| {readonly kind: 'endpoint'; readonly response: EndpointResponse; readonly lifetime: RequestLifetime}
 	| {readonly kind: 'own'; readonly response: GatewayResponse}
 	| {readonly kind: 'gone'};
 
@@ -60,35 +65,6 @@
 /** Minimum time left until the deadline for another send, in milliseconds. */
 const minimumSendMs = 20;
 
-/** State of a request across its sends. */
-type Progress = {
-	readonly triedEndpointIds: Set<string>;
-	sendCount: number;
-	unreachableCount: number;
-	mayHaveRun: boolean;
-	lastProblem: string;
-};
-
-const leaseResultOf = (outcome: SendOutcome, isTimeout: boolean): Parameters<EndpointLease['end']>[0] => {
-	switch (outcome.kind) {
-		case 'answered': {
-			return outcome.response.status >= 500 ? 'failed' : 'answered';
-		}
-
-		case 'not-run': {
-			return outcome.cause === 'unreachable' ? 'failed' : 'refused';
-		}
-
-		case 'failed': {
-			return 'failed';
-		}
-
-		case 'cancelled': {
-			return isTimeout ? 'silent' : 'abandoned';
-		}
-	}
-};
-
 /**
  * Statuses that tell a caller that its request did not run. A response of an endpoint with one of them is replaced by
  * status 502 unless the endpoint set the not-run header, because the request may have run.
@@ -104,7 +80,7 @@
 export const createForwardRequest = (options: ForwardOptions): ForwardRequest => {
 	const {clock, random, dispatcher, client, retryBudgetOf, log} = options;
 
-	const failureResult = (forwarded: ForwardedRequest, progress: Progress, reason: string, expectedWaitMs: number): ForwardResult => {
+	const failureResult = (forwarded: ForwardedRequest, progress: SendProgress, reason: string, expectedWaitMs: number): ForwardResult => {
 		const {route, service, request, arrivedAtMs} = forwarded;
 		const logFields = {
 			request: request.requestId, route: route.name, service, reason, sends: progress.sendCount, problem: progress.lastProblem, tookMs: Math.round(clock() - arrivedAtMs),
@@ -125,7 +101,7 @@
 		const outcome = await client.send({
 			endpoint,
 			request: forwarded.request,
-			remainingMs,
+			remainingMs: () => deadlineAtMs - clock(),
 			connectTimeoutMs: Math.min(connectTimeoutMs, remainingMs),
 			signal,
 			onConnected(connectMs) {
@@ -162,86 +138,67 @@
 		return outcome;
 	};
 
-	const recordOutcome = (progress: Progress, lease: EndpointLease, outcome: SendOutcome) => {
-		progress.triedEndpointIds.add(lease.endpoint.id);
-		if (outcome.kind === 'not-run' && outcome.cause === 'unreachable') {
-			progress.unreachableCount += 1;
-		} else {
-			progress.sendCount += 1;
-		}
-
-		progress.mayHaveRun ||= outcome.kind === 'failed' || outcome.kind === 'answered' || (outcome.kind === 'cancelled' && outcome.isSent);
-		progress.lastProblem = 'reason' in outcome ? outcome.reason : outcome.kind;
-	};
-
-	/** Whether a request may be sent again after an outcome. */
-	const isRetryable = ({route}: ForwardedRequest, outcome: SendOutcome): boolean => {
-		switch (outcome.kind) {
-			case 'answered': {
-				return route.kind === 'idempotent' && outcome.response.status >= 500;
-			}
-
-			case 'not-run': {
-				return true;
-			}
-
-			case 'failed': {
-				return route.kind === 'idempotent';
-			}
-
-			case 'cancelled': {
-				return false;
-			}
-		}
-	};
-
-	const finalResult = (forwarded: ForwardedRequest, progress: Progress, outcome: SendOutcome): ForwardResult => {
+	const finalResult = (forwarded: ForwardedRequest, progress: SendProgress, outcome: SendOutcome, lifetime: RequestLifetime): ForwardResult => {
 		if (outcome.kind === 'answered') {
 			const {response} = outcome;
 			return callerNotRunStatuses.has(response.status)
 				? {kind: 'own', response: {status: 502, problem: `the endpoint answered ${response.status}; the request may have run`}}
-				: {kind: 'endpoint', response};
+				: {kind: 'endpoint', response, lifetime};
 		}
 
 		return failureResult(forwarded, progress, outcome.kind === 'not-run' ? 'refused by the endpoint' : 'no answer', 0);
 	};
 
 	/** Whether the request may be sent now. Each send after the first takes one retry from the budget of the service. */
-	const tryReserveSend = (forwarded: ForwardedRequest, progress: Progress): boolean => progress.sendCount === 0
+	const tryReserveSend = (forwarded: ForwardedRequest, progress: SendProgress): boolean => progress.sendCount === 0
 		|| (progress.sendCount < forwarded.route.maximumAttempts && retryBudgetOf(forwarded.service).tryTake());
 
 	const isRefusal = (acquired: EndpointLease | DispatchRefusal): acquired is DispatchRefusal => 'kind' in acquired;
 
-	const sendWithRetries = async (forwarded: ForwardedRequest, progress: Progress, deadlineAtMs: number, signal: AbortSignal): Promise<ForwardResult> => {
+	const sendWithRetries = async (forwarded: ForwardedRequest, progress: SendProgress, deadlineAtMs: number, lifetime: RequestLifetime): Promise<ForwardResult> => {
 		const {route, service, affinityKey, arrivedAtMs} = forwarded;
 		const dispatched: DispatchedRequest = {
 			route, service, affinityKey, targetAtMs: arrivedAtMs + route.latencyTargetMs, deadlineAtMs, triedEndpointIds: progress.triedEndpointIds,
 		};
 		let lastOutcome: SendOutcome | undefined;
 		for (;;) {
+			if (forwarded.callerDisconnected.aborted) {
+				return {kind: 'gone'};
+			}
+
 			if (deadlineAtMs - clock() < minimumSendMs || progress.unreachableCount > maximumUnreachable) {
-				return lastOutcome === undefined ? failureResult(forwarded, progress, 'deadlineTooShort', 0) : finalResult(forwarded, progress, lastOutcome);
+				return lastOutcome === undefined ? failureResult(forwarded, progress, 'deadlineTooShort', 0) : finalResult(forwarded, progress, lastOutcome, lifetime);
 			}
 
 			const acquired = dispatcher.acquire(dispatched);
 			if (isRefusal(acquired)) {
-				return lastOutcome?.kind === 'answered' ? finalResult(forwarded, progress, lastOutcome) : failureResult(forwarded, progress, acquired.reason, acquired.expectedWaitMs);
+				return lastOutcome?.kind === 'answered' ? finalResult(forwarded, progress, lastOutcome, lifetime) : failureResult(forwarded, progress, acquired.reason, acquired.expectedWaitMs);
 			}
 
 			if (!tryReserveSend(forwarded, progress)) {
 				acquired.end('abandoned');
-				return finalResult(forwarded, progress, lastOutcome!);
+				return finalResult(forwarded, progress, lastOutcome!, lifetime);
 			}
 
-			lastOutcome = await sendOnce(forwarded, acquired, deadlineAtMs, signal); // eslint-disable-line no-await-in-loop
-			recordOutcome(progress, acquired, lastOutcome);
-			if (!isRetryable(forwarded, lastOutcome)) {
-				return signal.aborted ? {kind: 'gone'} : finalResult(forwarded, progress, lastOutcome);
+			lastOutcome = await sendOnce(forwarded, acquired, deadlineAtMs, lifetime.signal); // eslint-disable-line no-await-in-loop
+			recordOutcome(progress, acquired.endpoint.id, lastOutcome);
+			if (!isRetryable(route.kind, lastOutcome)) {
+				return lifetime.signal.aborted ? {kind: 'gone'} : finalResult(forwarded, progress, lastOutcome, lifetime);
 			}
 		}
 	};
 
-	const timeoutResult = (forwarded: ForwardedRequest, progress: Progress): ForwardResult => {
+	const isPartial = (result: ForwardResult): boolean => result.kind === 'endpoint' && result.response.body.kind === 'partial';
+
+	/** Releases a response for which there is no caller any more. */
+	const discard = (result: ForwardResult) => {
+		if (result.kind === 'endpoint' && result.response.body.kind === 'partial') {
+			result.lifetime.end();
+			result.response.body.rest.destroy();
+		}
+	};
+
+	const timeoutResult = (forwarded: ForwardedRequest, progress: SendProgress): ForwardResult => {
 		log(gatewayEvents.requestFailed, {
 			request: forwarded.request.requestId, route: forwarded.route.name, service: forwarded.service, reason: 'no answer in time', sends: progress.sendCount, tookMs: Math.round(clock() - forwarded.arrivedAtMs),
 		});
@@ -250,32 +207,42 @@
 
 	return async forwarded => {
 		const {route, arrivedAtMs, callerDisconnected, callerTimeoutMs} = forwarded;
-		const progress: Progress = {
-			triedEndpointIds: new Set(), sendCount: 0, unreachableCount: 0, mayHaveRun: false, lastProblem: '',
-		};
+		const progress = createSendProgress();
 		const deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, callerTimeoutMs ?? route.timeoutMs);
 		retryBudgetOf(forwarded.service).recordRequest();
 		dispatcher.recordArrival(forwarded.service);
-		const sendAbortController = new AbortController();
 		return new Promise(resolve => {
-			const timer = setTimeout(() => {
-				resolve(timeoutResult(forwarded, progress));
-				sendAbortController.abort();
-			}, Math.max(0, deadlineAtMs - clock()));
-			const onCallerDisconnected = () => {
-				clearTimeout(timer);
-				resolve({kind: 'gone'});
-				// At-most-once requests are not aborted, because their caller can't safely repeat them.
-				if (route.kind === 'idempotent') {
-					sendAbortController.abort();
+			let isResolved = false;
+			const settle = (result: ForwardResult) => {
+				if (isResolved) {
+					discard(result);
+				} else {
+					isResolved = true;
+					resolve(result);
 				}
 			};
 
-			callerDisconnected.addEventListener('abort', onCallerDisconnected);
-			void sendWithRetries(forwarded, progress, deadlineAtMs, sendAbortController.signal).then(result => { // eslint-disable-line promise/prefer-await-to-then -- the deadline may end the request first
-				clearTimeout(timer);
-				callerDisconnected.removeEventListener('abort', onCallerDisconnected);
-				resolve(result);
+			const lifetime = startRequestLifetime({
+				timeoutMs: deadlineAtMs - clock(),
+				callerDisconnected,
+				onTimeout() {
+					if (!isResolved) {
+						settle(timeoutResult(forwarded, progress));
+					}
+				},
+				onDisconnected() {
+					// An at-most-once request is not aborted before its response, because its caller can't safely repeat it.
+					const isAborted = isResolved || route.kind === 'idempotent';
+					settle({kind: 'gone'});
+					return isAborted ? 'end' : 'continue';
+				},
+			});
+			void sendWithRetries(forwarded, progress, deadlineAtMs, lifetime).then(result => { // eslint-disable-line promise/prefer-await-to-then -- the deadline may end the request first
+				if (!isPartial(result)) {
+					lifetime.end();
+				}
+
+				settle(result);
 			});
 		});
 	};
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -131,7 +131,7 @@
 	};
 
 	const trafficState = followTraffic({
-		adapter, membership, channel, clock, random, signal, onChange: applyTrafficState,
+		adapter, membership, channel, clock, random, signal, planMs: () => bounds().planMs, onChange: applyTrafficState,
 	});
 	const connectionPool = createEndpointConnectionPool(clock);
 	const retryBudgets = new Map<string, RetryBudget>();
@@ -152,6 +152,8 @@
 		clock,
 		headers: adapter.headers,
 		plan: trafficState.plan,
+		planAgeMs: trafficState.planAgeMs,
+		isPlanOutdated: trafficState.isPlanOutdated,
 		async forward(request) {
 			recentRequests.record();
 			return forward(request);
--- a/packages/gateway/src/trafficState.ts
+++ b/packages/gateway/src/trafficState.ts
@@ -18,6 +18,10 @@
 /** Current state of plan, evacuations and endpoints. */
 export type TrafficState = {
 	readonly plan: PlanFollower['plan'];
+	/** Time since the plan was last known to be the newest one, in milliseconds. */
+	readonly planAgeMs: () => number;
+	/** Whether a newer plan may have to be in force: a peer has one, or the replica is older than the bound on plans. */
+	readonly isPlanOutdated: () => boolean;
 	readonly evacuatedZones: PlanFollower['evacuatedZones'];
 	readonly endpoints: EndpointDirectory['endpoints'];
 	/** Removes endpoints whose registrations have expired. Must be called several times a second. */
@@ -33,6 +37,8 @@
 	readonly random: Random;
 	/** Stops following the tables when it is aborted. */
 	readonly signal: AbortSignal;
+	/** Time within which an accepted plan must be in force, in milliseconds. */
+	readonly planMs: () => number;
 	/** Called after each change of the state. */
 	readonly onChange: () => void;
 };
@@ -50,12 +56,17 @@
  * @param options - Platform, peers and change callback.
  * @returns The state; empty until the first successful read.
  */
-export const followTraffic = ({adapter, membership, channel, clock, random, signal, onChange}: TrafficStateOptions): TrafficState => {
+export const followTraffic = ({adapter, membership, channel, clock, random, signal, planMs, onChange}: TrafficStateOptions): TrafficState => {
 	const log = createLogger('discovery');
 	const planFollower = createPlanFollower(adapter.decodeOperatorRow, log);
 	const endpointDirectory = createEndpointDirectory({decode: adapter.decodeEndpoint, clock, log});
 	const replicas: Readonly<Record<TableName, RowReplica>> = {operators: createRowReplica(clock), registrations: createRowReplica(clock)};
 
+	const isPlanBehindPeers = (): boolean => {
+		const version = planFollower.plan()?.version ?? 0;
+		return membership.members().some(({configurationVersion}) => configurationVersion > version);
+	};
+
 	const readRowsFromPeer = async (table: TableName): Promise<VersionedRows | undefined> => {
 		const self = membership.self();
 		const peers = membership.members().filter(({id, health}) => id !== self.id && health === 'alive');
@@ -125,6 +136,8 @@
 
 	return {
 		plan: planFollower.plan,
+		planAgeMs: replicas.operators.ageMs,
+		isPlanOutdated: () => replicas.operators.ageMs() > planMs() || isPlanBehindPeers(),
 		evacuatedZones: planFollower.evacuatedZones,
 		endpoints: endpointDirectory.endpoints,
 		removeExpired() {
--- a/packages/logger/src/events/discoveryEvents.ts
+++ b/packages/logger/src/events/discoveryEvents.ts
@@ -47,4 +47,7 @@
 	evacuationChanged: {
 		number: 10_011, name: 'evacuationChanged', level: 'info', meaning: 'An availability zone was evacuated and receives no requests, or its evacuation ended.',
 	},
+	routeKindUnknown: {
+		number: 10_012, name: 'routeKindUnknown', level: 'warn', meaning: 'Routes of the traffic plan have a kind that this version does not know; their requests run once at most. Update the program or correct the plan.',
+	},
 });
--- a/packages/logger/src/events/gatewayEvents.ts
+++ b/packages/logger/src/events/gatewayEvents.ts
@@ -29,4 +29,13 @@
 	settingsRejected: {
 		number: 11_005, name: 'settingsRejected', level: 'error', meaning: 'The changed settings file has errors; the previous settings stay in force.',
 	},
+	requestRejected: {
+		number: 11_006,
+		name: 'requestRejected',
+		level: 'info',
+		meaning: 'A request was answered without being forwarded: no route matched, a limit of the plan was exceeded, or the plan is missing or outdated. The fields contain the version and the age of the plan.',
+	},
+	responseCutOff: {
+		number: 11_007, name: 'responseCutOff', level: 'warn', meaning: 'A large response broke off after its first part had been forwarded; the caller\'s connection was reset. Check the endpoint.',
+	},
 });
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -75,6 +75,12 @@
 	readonly retryWindowMs: number;
 	readonly largestShift: number;
 	readonly largestLookupLifetimeMs: number;
+	/** Time within which an accepted traffic plan must be in force on all instances. */
+	readonly planMs: number;
+	/** Time within which a draining or removed endpoint must stop receiving requests. */
+	readonly drainMs: number;
+	/** Time after the end of a disruption within which an instance must be up to date again. */
+	readonly contactMs: number;
 };
 
 const millisecondsPerSecond = 1000;
@@ -87,6 +93,9 @@
 	retryWindowSeconds: 10,
 	largestShift: 0.15,
 	largestLookupLifetimeSeconds: 5,
+	planSeconds: 2,
+	drainSeconds: 2,
+	contactSeconds: 3,
 };
 
 /**
@@ -105,6 +114,9 @@
 		retryWindowMs: milliseconds('retryWindowSeconds'),
 		largestShift: value('largestShift'),
 		largestLookupLifetimeMs: milliseconds('largestLookupLifetimeSeconds'),
+		planMs: milliseconds('planSeconds'),
+		drainMs: milliseconds('drainSeconds'),
+		contactMs: milliseconds('contactSeconds'),
 	};
 };
 
--- a/packages/types/src/trafficPlan.ts
+++ b/packages/types/src/trafficPlan.ts
@@ -65,4 +65,6 @@
 	/** Services by name. */
 	readonly services: ReadonlyMap<string, PlannedService>;
 	readonly limits: CallerLimits;
+	/** Kinds of routes that this version of the program does not know; their requests run once at most. */
+	readonly unknownRouteKinds: readonly string[];
 };
