Discovery: fewer readers of the store, bounds from the settings, newer plans from peers

Change: one reader for every 40 instances of a region, a large one that has a plan; followers ask a second reader before the store; first rows come from a reader; at the first start of a deployment the list of instances is read a second later, when all have registered, and less often the more members there are. Waits and timeouts follow from the bounds of the deployment. An instance whose peers have a newer plan reads it from them; rows of peers keep their age; older rows of a store that lags are ignored with backoff, and after a start the rows of a peer complete those of the store.

The tests of the readers follow the new selection: they check the number, size, region and load of the readers instead of one reader in each zone, and a stale reader is now excluded for 3 s.

--- a/packages/discovery/src/__tests__/followTable.test.ts
+++ b/packages/discovery/src/__tests__/followTable.test.ts
@@ -2,7 +2,7 @@
 import {silentLogger} from '@filbertwell/logger/logger';
 import {monotonicClock} from '@filbertwell/utils/clock';
 import {createRandom} from '@filbertwell/utils/random';
-import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {
 	describe, expect, test, vi,
 } from 'vitest';
@@ -35,7 +35,7 @@
 	};
 };
 
-const follow = (table: WatchedTable, readFromPeer: () => Promise<VersionedRows | undefined> = async () => undefined) => {
+const follow = (table: WatchedTable, readFromPeer: () => Promise<VersionedRows | undefined> = async () => undefined, isBehindPeers = () => false) => {
 	const changes: WatchedRow[] = [];
 	const stopping = new AbortController();
 	const replica = createRowReplica(monotonicClock);
@@ -44,6 +44,7 @@
 		table,
 		replica,
 		readFromPeer,
+		isBehindPeers,
 		onChange({rows}) {
 			changes.push(...rows);
 		},
@@ -82,6 +83,57 @@
 		await stop();
 	});
 
+	test('ignores rows of an older version and reads them again with backoff until they are current', async () => {
+		const old: VersionedRows = {rows: [{key: 'a', value: 'old'}], version: 4};
+		const {changes, stop} = follow(scriptedTable(
+			[{rows: [{key: 'a', value: '1'}], version: 5}, old, old, {rows: [{key: 'a', value: '2'}], version: 8}],
+			['expired'],
+		));
+		await vi.waitFor(() => {
+			expect(changes).toHaveLength(2);
+		}, {timeout: 10_000});
+		await stop();
+		expect(changes).toEqual([{key: 'a', value: '1'}, {key: 'a', value: '2'}]);
+	});
+
+	/** After a restart, a store whose answers lag would bring back an endpoint that has left. */
+	test('takes the newer rows of a peer after the first read of the store', async () => {
+		const {replica, stop} = follow(
+			scriptedTable([{rows: [{key: 'a', value: '1'}, {key: 'left', value: '1'}], version: 5}], []),
+			async () => ({rows: [{key: 'a', value: '1'}], version: 7, ageMs: 10}),
+		);
+		await vi.waitFor(() => {
+			expect(replica.snapshot()).toEqual({rows: [{key: 'a', value: '1'}], version: 7});
+		});
+		await stop();
+	});
+
+	/** A read of the store that is never answered must not keep an old plan in force while peers have a newer one. */
+	test('reads from a peer that is known to have newer rows, although the store has not failed yet', async () => {
+		let peerVersion = 5;
+		const waiting: WatchedTable = {
+			readAll: () => okAsync({rows: [{key: 'plan', value: '5'}], version: 5}),
+			readChanges: () => new ResultAsync<VersionedRows | undefined, PlatformError>(new Promise(() => undefined)),
+		};
+		const {replica} = follow(waiting, async () => ({rows: [{key: 'plan', value: String(peerVersion)}], version: peerVersion}), () => peerVersion > (replica.version() ?? 0));
+		await vi.waitFor(() => {
+			expect(replica.version()).toBe(5);
+		});
+		peerVersion = 9;
+		await vi.waitFor(() => {
+			expect(replica.version()).toBe(9);
+		});
+	});
+
+	test('rows of a peer have the age that the peer reports', async () => {
+		const {replica, stop} = follow(scriptedTable([], []), async () => ({rows: [], version: 7, ageMs: 60_000}));
+		await vi.waitFor(() => {
+			expect(replica.version()).toBe(7);
+		}, {timeout: 10_000});
+		expect(replica.ageMs()).toBeGreaterThan(200);
+		await stop();
+	});
+
 	test('reads from a peer while the store is unavailable', async () => {
 		const {changes, replica, stop} = follow(scriptedTable([], []), async () => ({rows: [{key: 'a', value: '7'}], version: 7}));
 		await vi.waitFor(() => {
--- a/packages/discovery/src/__tests__/sharedTable.test.ts
+++ b/packages/discovery/src/__tests__/sharedTable.test.ts
@@ -5,11 +5,15 @@
 import {
 	afterEach, beforeEach, describe, expect, test, vi,
 } from 'vitest';
+import {readTimesOf} from '../readTimes.js';
 import {createRowReplica, type RowReplica} from '../rowReplica.js';
 import {awaitChanges, createSharedTable, type SharedChanges} from '../sharedTable.js';
+import type {TableReader} from '../tableReaders.js';
 import type {VersionedRows, WatchedTable} from '../watchedTable.js';
 
 const clock = () => Date.now();
+const times = readTimesOf({planMs: 3000, drainMs: 3000, contactMs: 4000});
+const freshness = {clock, staleAfterMs: times.staleAfterMs};
 
 beforeEach(() => {
 	vi.useFakeTimers();
@@ -21,7 +25,7 @@
 
 /** Changes that a reader returns without waiting. */
 const changesNow = async (replica: RowReplica, afterVersion: number) => {
-	const {reading} = await awaitChanges(replica, afterVersion, 0, clock);
+	const {reading} = await awaitChanges(replica, afterVersion, 0, freshness);
 	return reading;
 };
 
@@ -40,14 +44,14 @@
 describe('a reader', () => {
 	test('answers a follower with the first change', async () => {
 		const replica = filledReplica();
-		const answer = awaitChanges(replica, 5, 1000, clock);
+		const answer = awaitChanges(replica, 5, 1000, freshness);
 		await vi.advanceTimersByTimeAsync(300);
 		replica.applyChanges({rows: [{key: 'b', value: undefined}], version: 8});
 		expect(await answer).toEqual({reading: {version: 8, rows: [{key: 'b', value: undefined}]}, ageMs: 0});
 	});
 
 	test('answers without rows after the wait, with the age of its replica', async () => {
-		const answer = awaitChanges(filledReplica(), 5, 1000, clock);
+		const answer = awaitChanges(filledReplica(), 5, 1000, freshness);
 		await vi.advanceTimersByTimeAsync(1000);
 		expect(await answer).toEqual({reading: {version: 5, rows: []}, ageMs: 1000});
 	});
@@ -55,7 +59,7 @@
 	test('answers as soon as its replica becomes stale', async () => {
 		const replica = filledReplica();
 		await vi.advanceTimersByTimeAsync(1700);
-		const answer = awaitChanges(replica, 5, 1000, clock);
+		const answer = awaitChanges(replica, 5, 1000, freshness);
 		await vi.advanceTimersByTimeAsync(302);
 		const {ageMs} = await answer;
 		expect(ageMs).toBeGreaterThan(2000);
@@ -80,77 +84,120 @@
 const unavailable: PlatformError = {kind: 'unavailable', operation: 'rows.feed', detail: 'status 503'};
 const reader = {id: 'reader-1', peerAddress: {host: '127.0.0.1', port: 1}};
 
-const createFollower = ({answer, storeReading, hasReader = true}: {
-	readonly answer: () => Result<SharedChanges, string>;
-	readonly storeReading?: () => VersionedRows | undefined;
-	readonly hasReader?: boolean;
+const otherReader = {id: 'reader-2', peerAddress: {host: '127.0.0.1', port: 2}};
+
+const createFollower = ({answer, allRows = () => ok({reading: undefined, ageMs: 0}), storeReading, isReader = false}: {
+	readonly answer: (reader: TableReader) => Result<SharedChanges, string>;
+	readonly allRows?: (reader: TableReader) => Result<SharedChanges, string>;
+	readonly storeReading?: () => VersionedRows;
+	readonly isReader?: boolean;
 }) => {
-	const avoided: string[] = [];
+	const avoided = new Set<string>();
 	let storeReads = 0;
-	const store: WatchedTable = {
-		readAll: () => errAsync(unavailable),
-		readChanges() {
-			storeReads += 1;
-			return storeReading === undefined ? errAsync(unavailable) : okAsync(storeReading());
-		},
+	const readStore = () => {
+		storeReads += 1;
+		return storeReading === undefined ? errAsync(unavailable) : okAsync(storeReading());
 	};
+
 	const table = createSharedTable({
-		store,
+		store: {readAll: readStore, readChanges: readStore},
 		readers: {
-			readerToFollow: () => hasReader ? reader : undefined,
+			readersToFollow: () => [reader, otherReader].filter(({id}) => !avoided.has(id)),
+			isReader: () => isReader,
 			storeWaitMs: () => 1500,
 			avoid(id) {
-				avoided.push(id);
+				avoided.add(id);
 			},
 		},
-		readFromReader: async () => answer(),
+		readFromReader: async asked => answer(asked),
+		readAllFromReader: async asked => allRows(asked),
 		clock,
+		times: () => times,
 	});
 	return {table, avoided, storeReads: () => storeReads};
 };
 
 const storeRows: VersionedRows = {version: 9, rows: [{key: 'a', value: 'store'}]};
+const sharedRows = {version: 7, rows: [{key: 'a', value: '2'}]};
+
+/** A drain must be detected within 3 s even when the reader was cut off, stopped or lost the store directly before it. */
+const unusableAnswers = [
+	['does not answer', () => err('timeout')],
+	['lost the store', () => ok({reading: {version: 5, rows: []}, ageMs: 2001})],
+] satisfies ReadonlyArray<readonly [string, () => Result<SharedChanges, string>]>;
 
 describe('a follower', () => {
 	test('gets changes from its reader without reading the store', async () => {
-		const {table, storeReads} = createFollower({answer: () => ok({reading: {version: 7, rows: [{key: 'a', value: '2'}]}, ageMs: 40})});
-		expect(await read(table)).toEqual({version: 7, rows: [{key: 'a', value: '2'}], ageMs: 40});
+		const {table, storeReads} = createFollower({answer: () => ok({reading: sharedRows, ageMs: 40})});
+		expect(await read(table)).toEqual({...sharedRows, ageMs: 40});
 		expect(storeReads()).toBe(0);
 	});
 
-	/** A drain must be detected within 3 s even when the reader was cut off, stopped or lost the store directly before it. */
-	test.each([
-		['does not answer', () => err('timeout')],
-		['lost the store', () => ok({reading: {version: 5, rows: []}, ageMs: 2001})],
-		['does not retain the changes since then', () => ok({reading: undefined, ageMs: 10})],
-	] satisfies ReadonlyArray<readonly [string, () => Result<SharedChanges, string>]>)('reads the store itself if its reader %s', async (_, answer) => {
+	test.each(unusableAnswers)('asks another reader if its reader %s, without reading the store', async (_, answer) => {
+		const {table, avoided, storeReads} = createFollower({answer: ({id}) => id === 'reader-1' ? answer() : ok({reading: sharedRows, ageMs: 40})});
+		expect(await read(table)).toEqual({...sharedRows, ageMs: 40});
+		expect([...avoided]).toEqual(['reader-1']);
+		expect(storeReads()).toBe(0);
+	});
+
+	test.each(unusableAnswers)('reads the store itself if each reader %s', async (_, answer) => {
 		const {table, avoided} = createFollower({answer, storeReading: () => storeRows});
 		expect(await read(table)).toEqual(storeRows);
-		expect(avoided).toEqual(answer().isErr() ? ['reader-1'] : []);
+		expect([...avoided]).toEqual(['reader-1', 'reader-2']);
+		expect(await read(table)).toEqual(storeRows);
+	});
+
+	test('reads the store itself if its reader does not retain the changes', async () => {
+		const {table, avoided} = createFollower({answer: () => ok({reading: undefined, ageMs: 10}), storeReading: () => storeRows});
+		expect(await read(table)).toEqual(storeRows);
+		expect([...avoided]).toEqual([]);
 	});
 
-	test('backs off from an unavailable store and keeps its reader', async () => {
-		const {table, storeReads, avoided} = createFollower({answer: () => ok({reading: {version: 5, rows: []}, ageMs: 5000})});
+	test('backs off from an unavailable store', async () => {
+		const {table, storeReads} = createFollower({answer: () => ok({reading: {version: 5, rows: []}, ageMs: 5000})});
 		for (let elapsedMs = 0; elapsedMs < 6000; elapsedMs += 250) {
-			expect(await read(table)).toMatch(/status 503|copy of reader reader-1 is 5000 ms old/u); // eslint-disable-line no-await-in-loop
+			expect(await read(table)).toMatch(/status 503|excluded/u); // eslint-disable-line no-await-in-loop
 			await vi.advanceTimersByTimeAsync(250); // eslint-disable-line no-await-in-loop
 		}
 
-		expect(storeReads()).toBeLessThanOrEqual(5);
-		expect(avoided).toEqual([]);
+		expect(storeReads()).toBeLessThanOrEqual(4);
+	});
+});
+
+describe('the first rows of a follower', () => {
+	const readFirst = async (table: WatchedTable) => {
+		const result = await table.readAll();
+		return result.isOk() ? result.value : result.error.detail;
+	};
+
+	test('come from a reader', async () => {
+		const {table, storeReads} = createFollower({answer: () => err('not asked'), allRows: () => ok({reading: sharedRows, ageMs: 40})});
+		expect(await readFirst(table)).toEqual({...sharedRows, ageMs: 40});
+		expect(storeReads()).toBe(0);
 	});
 
-	test('gets changes from its reader again after the reader has reached the store', async () => {
-		let ageMs = 5000;
-		const {table} = createFollower({answer: () => ok({reading: {version: 5, rows: []}, ageMs})});
-		expect(await read(table)).toBe('status 503');
-		ageMs = 20;
-		expect(await read(table)).toEqual({version: 5, rows: [], ageMs: 20});
+	test('come from the store if the rows of the readers are stale', async () => {
+		const {table} = createFollower({answer: () => err('not asked'), allRows: () => ok({reading: sharedRows, ageMs: 2001}), storeReading: () => storeRows});
+		expect(await readFirst(table)).toEqual(storeRows);
+	});
+
+	test('come from the store if the readers do not answer', async () => {
+		const {table} = createFollower({answer: () => err('not asked'), allRows: () => err('timeout'), storeReading: () => storeRows});
+		expect(await readFirst(table)).toEqual(storeRows);
+	});
+
+	/** All instances of a large deployment start together; without patience each of them would read the whole table. */
+	test('are awaited from readers that have just started, but not for long', async () => {
+		const {table, storeReads} = createFollower({answer: () => err('not asked'), storeReading: () => storeRows});
+		expect(await readFirst(table)).toBe('no reader has rows yet');
+		expect(storeReads()).toBe(0);
+		await vi.advanceTimersByTimeAsync(4000);
+		expect(await readFirst(table)).toEqual(storeRows);
 	});
 });
 
-test('an instance without a reader to follow reads the store', async () => {
-	const {table} = createFollower({answer: () => err('not asked'), storeReading: () => storeRows, hasReader: false});
+test('a reader reads the store', async () => {
+	const {table} = createFollower({answer: () => err('not asked'), storeReading: () => storeRows, isReader: true});
 	expect(await read(table)).toEqual(storeRows);
 });
 
--- a/packages/discovery/src/followTable.ts
+++ b/packages/discovery/src/followTable.ts
@@ -15,6 +15,8 @@
 	readonly replica: RowReplica;
 	/** Reads the replica of one peer; `undefined` if it does not answer or has nothing newer. */
 	readonly readFromPeer: () => Promise<VersionedRows | undefined>;
+	/** Whether a peer is known to have newer rows. */
+	readonly isBehindPeers: () => boolean;
 	/** Called after each change of the replica that changed at least one row. */
 	readonly onChange: (change: ReplicaChange) => void;
 	readonly random: Random;
@@ -30,8 +32,8 @@
 /** Exponential backoff after failed reads. Jitter prevents all instances from calling a recovered store at the same time. */
 const initialRetryMs = 250;
 const maximumRetryMs = 1000;
-/** Interval between reads from peers while the replica is stale. */
-const peerIntervalMs = 500;
+/** Interval between reads from peers while the replica is stale or behind. */
+const peerIntervalMs = 250;
 /** Time by which an answer of the table may be late before the replica counts as stale. */
 const staleToleranceMs = 700;
 
@@ -42,7 +44,7 @@
  * @returns A promise that resolves after the abort.
  */
 export const followTable = async (options: FollowTableOptions): Promise<void> => {
-	const {name, table, replica, readFromPeer, onChange, random, log, signal, waitMs, pauseMs} = options;
+	const {name, table, replica, readFromPeer, isBehindPeers, onChange, random, log, signal, waitMs, pauseMs} = options;
 	let isConnected = false;
 	let needsFullRead = true;
 
@@ -61,6 +63,16 @@
 		}
 	};
 
+	const applyPeerRows = async () => {
+		const peerRows = await readFromPeer();
+		if (peerRows !== undefined && peerRows.version > (replica.version() ?? -1)) {
+			log(discoveryEvents.readFromPeer, {
+				table: name, version: peerRows.version, rows: peerRows.rows.length, ageMs: peerRows.ageMs,
+			});
+			emit(replica.applySnapshot(peerRows));
+		}
+	};
+
 	const readOnce = async (): Promise<boolean> => {
 		const version = replica.version();
 		if (needsFullRead || version === undefined) {
@@ -70,9 +82,21 @@
 				return false;
 			}
 
-			needsFullRead = false;
 			updateConnection(true, 'all rows were read');
-			emit(replica.applySnapshot(result.value));
+			const change = replica.applySnapshot(result.value);
+			if (change === undefined) {
+				// Answers of the store may lag after it has dropped its history.
+				log(discoveryEvents.snapshotOutdated, {table: name, version: result.value.version, known: version});
+				return false;
+			}
+
+			needsFullRead = false;
+			emit(change);
+			// Rows that come from the store itself may lag behind those of the peers.
+			if (version === undefined && result.value.ageMs === undefined) {
+				await applyPeerRows();
+			}
+
 			return true;
 		}
 
@@ -96,10 +120,8 @@
 	const followPeers = async () => {
 		while (await waitUnlessAborted(peerIntervalMs, signal)) { // eslint-disable-line no-await-in-loop
 			const isStale = replica.version() === undefined || replica.ageMs() > waitMs() + staleToleranceMs;
-			const peerRows = isStale ? await readFromPeer() : undefined; // eslint-disable-line no-await-in-loop
-			if (peerRows !== undefined && peerRows.version > (replica.version() ?? -1)) {
-				log(discoveryEvents.readFromPeer, {table: name, version: peerRows.version, rows: peerRows.rows.length});
-				emit(replica.applySnapshot(peerRows));
+			if (isStale || isBehindPeers()) {
+				await applyPeerRows(); // eslint-disable-line no-await-in-loop
 			}
 		}
 	};
--- a/packages/discovery/src/sharedTable.ts
+++ b/packages/discovery/src/sharedTable.ts
@@ -10,6 +10,7 @@
 } from 'neverthrow';
 import {firstValueFrom, merge, timer} from 'rxjs';
 import type {RowReplica} from './rowReplica.js';
+import type {ReadTimes} from './readTimes.js';
 import type {TableReader, TableReaders} from './tableReaders.js';
 import type {VersionedRows, WatchedRow, WatchedTable} from './watchedTable.js';
 
@@ -21,6 +22,9 @@
 	readonly ageMs: number;
 };
 
+/** Requests all rows of a reader; its answer has no `reading` if it has none yet. The error describes why the call failed. */
+export type ReadAllFromReader = (reader: TableReader) => Promise<Result<SharedChanges, string>>;
+
 /** Requests the changes after a version from a reader, which answers within `waitMs`. The error describes why the call failed. */
 export type ReadFromReader = (reader: TableReader, afterVersion: number, waitMs: number) => Promise<Result<SharedChanges, string>>;
 
@@ -28,19 +32,20 @@
 	readonly store: WatchedTable;
 	readonly readers: TableReaders;
 	readonly readFromReader: ReadFromReader;
+	readonly readAllFromReader: ReadAllFromReader;
 	readonly clock: Clock;
+	readonly times: () => ReadTimes;
 };
 
 /** Longest wait of one read from a reader; well below the 2 s timeout of calls between peers. */
 const readerWaitMs = 1000;
-/**
- * Age above which a replica is stale. A reader refreshes its replica every 1.5 s, and changes must reach all instances
- * within 3 s even when the reader that they follow is cut off from the store.
- */
-const staleAfterMs = 2000;
-/** Exponential backoff between failed reads of the store by a follower whose reader is not usable either. */
+/** Number of readers that are asked in one read before the store is read. */
+const readersPerRead = 2;
+/** Time after the start in which an instance waits for a reader that has rows. When all instances start together, the readers must read the store first. */
+const firstRowsPatienceMs = 4000;
+/** Exponential backoff between failed reads of the store by a follower whose readers are not usable either. */
 const initialStorePauseMs = 500;
-const maximumStorePauseMs = 2000;
+const maximumStorePauseMs = 4000;
 
 /**
  * Waits until a replica has changes after a version, or becomes stale or current again. Runs at a reader for a follower.
@@ -48,10 +53,10 @@
  * @param replica - Replica of the reader.
  * @param afterVersion - Version of the follower.
  * @param waitMs - Longest wait in milliseconds; at most 1000 is used.
- * @param clock - Monotonic clock in milliseconds.
+ * @param options - Monotonic clock in milliseconds, and the age above which a replica is stale.
  * @returns The changes, whose rows are empty if there are none, and the age of the replica.
  */
-export const awaitChanges = async (replica: RowReplica, afterVersion: number, waitMs: number, clock: Clock): Promise<SharedChanges> => {
+export const awaitChanges = async (replica: RowReplica, afterVersion: number, waitMs: number, {clock, staleAfterMs}: {readonly clock: Clock; readonly staleAfterMs: number}): Promise<SharedChanges> => {
 	const untilMs = clock() + Math.min(waitMs, readerWaitMs);
 	const wasStale = replica.ageMs() > staleAfterMs;
 	for (;;) {
@@ -69,50 +74,88 @@
 };
 
 /**
- * Creates a table that reads from the reader to follow, or from the store if there is none. A follower also reads
- * the store itself if its reader does not answer, is stale or does not retain the changes.
+ * Creates a table that reads from a reader, or from the store if there is none to follow. A follower also reads the store
+ * itself if its readers do not answer, are stale or do not retain the changes.
  *
  * @param options - Table of the store, selection of the readers and access to them.
- * @returns The table. Reading all rows always uses the store.
+ * @returns The table.
  */
-export const createSharedTable = ({store, readers, readFromReader, clock}: SharedTableOptions): WatchedTable => {
+export const createSharedTable = ({store, readers, readFromReader, readAllFromReader, clock, times}: SharedTableOptions): WatchedTable => {
+	const createdAtMs = clock();
 	let storePauseMs = initialStorePauseMs;
 	let nextStoreReadAtMs = 0;
 
+	const unavailable = (detail: string): Result<never, PlatformError> => err({kind: 'unavailable', operation: 'shared table', detail});
+
 	/** Reads the store instead of an unusable reader, with backoff, because the store may be unavailable to all instances. */
-	const readStoreInstead = async (afterVersion: number, reason: string): Promise<Result<VersionedRows | undefined, PlatformError>> => {
+	const readStoreInstead = async <Rows>(read: () => ResultAsync<Rows, PlatformError>, reason: string): Promise<Result<Rows, PlatformError>> => {
 		if (clock() < nextStoreReadAtMs) {
-			return err({kind: 'unavailable', operation: 'shared table', detail: reason});
+			return unavailable(reason);
 		}
 
-		const result = await store.readChanges(afterVersion, 0);
+		const result = await read();
 		storePauseMs = result.isOk() ? initialStorePauseMs : Math.min(storePauseMs * 2, maximumStorePauseMs);
 		nextStoreReadAtMs = result.isOk() ? 0 : clock() + storePauseMs;
 		return result;
 	};
 
 	const readChanges = async (afterVersion: number, waitMs: number): Promise<Result<VersionedRows | undefined, PlatformError>> => {
-		const reader = readers.readerToFollow();
-		if (reader === undefined) {
+		if (readers.isReader()) {
 			return store.readChanges(afterVersion, waitMs);
 		}
 
-		const shared = await readFromReader(reader, afterVersion, readerWaitMs);
-		if (shared.isErr()) {
+		let reason = 'all readers are excluded';
+		for (const reader of readers.readersToFollow().slice(0, readersPerRead)) {
+			const shared = await readFromReader(reader, afterVersion, readerWaitMs); // eslint-disable-line no-await-in-loop
+			if (shared.isErr()) {
+				readers.avoid(reader.id);
+				reason = `reader ${reader.id}: ${shared.error}`;
+				continue;
+			}
+
+			const {reading, ageMs} = shared.value;
+			if (reading === undefined) {
+				reason = `reader ${reader.id} does not retain the changes`;
+				break;
+			}
+
+			if (ageMs <= times().staleAfterMs || reading.rows.length > 0) {
+				return ok({...reading, ageMs});
+			}
+
 			readers.avoid(reader.id);
-			return readStoreInstead(afterVersion, `reader ${reader.id}: ${shared.error}`);
+			reason = `the copy of reader ${reader.id} is ${Math.round(ageMs)} ms old`;
 		}
 
-		const {reading, ageMs} = shared.value;
-		if (reading === undefined || (ageMs > staleAfterMs && reading.rows.length === 0)) {
-			return readStoreInstead(afterVersion, `the copy of reader ${reader.id} is ${Math.round(ageMs)} ms old`);
+		return readStoreInstead(() => store.readChanges(afterVersion, 0), reason);
+	};
+
+	const readAll = async (): Promise<Result<VersionedRows, PlatformError>> => {
+		if (readers.isReader()) {
+			return store.readAll();
+		}
+
+		let hasStartingReader = false;
+		for (const reader of readers.readersToFollow().slice(0, readersPerRead)) {
+			const shared = await readAllFromReader(reader); // eslint-disable-line no-await-in-loop
+			if (shared.isOk() && shared.value.reading !== undefined && shared.value.ageMs <= times().staleAfterMs) {
+				return ok({...shared.value.reading, ageMs: shared.value.ageMs});
+			}
+
+			if (shared.isErr()) {
+				readers.avoid(reader.id);
+			}
+
+			hasStartingReader ||= shared.isOk() && shared.value.reading === undefined;
 		}
 
-		return ok({...reading, ageMs});
+		return hasStartingReader && clock() - createdAtMs < firstRowsPatienceMs
+			? unavailable('no reader has rows yet')
+			: readStoreInstead(() => store.readAll(), 'no reader has current rows');
 	};
 
 	return {
-		readAll: store.readAll,
+		readAll: () => new ResultAsync(readAll()),
 		readChanges: (afterVersion, waitMs) => new ResultAsync(readChanges(afterVersion, waitMs)),
 	};
 };
--- a/packages/discovery/src/tableReaders.ts
+++ b/packages/discovery/src/tableReaders.ts
@@ -1,16 +1,20 @@
 /**
  * Selects the instances that read the watched tables from the store, the readers. In a large deployment only a few
- * instances are readers, and each of the others follows the nearest one.
+ * instances of each region are readers, and the others follow one of them.
  */
-import {selectPollers} from '@filbertwell/configuration/selectPollers';
-import type {AvailabilityZoneName, RegionName, SocketAddress} from '@filbertwell/types/place';
+import type {RegionName, SocketAddress} from '@filbertwell/types/place';
 import type {Clock} from '@filbertwell/utils/clock';
+import {rendezvousOrder} from '@filbertwell/utils/hash';
+import type {ReadTimes} from './readTimes.js';
 
 /** An instance that can be selected as a reader. */
 export type ReaderCandidate = {
 	readonly id: string;
 	readonly region: RegionName;
-	readonly availabilityZone: AvailabilityZoneName;
+	/** Processor capacity in cores; `undefined` if it is not known yet. */
+	readonly capacity: number | undefined;
+	/** Whether the instance has a plan. One that has just started is a reader only if its region has no other instance. */
+	readonly isServing: boolean;
 	readonly peerAddress: SocketAddress;
 };
 
@@ -22,63 +26,91 @@
 
 /** Selection of the readers from the view of this instance. */
 export type TableReaders = {
-	/** Returns the reader to follow; `undefined` if this instance is a reader itself or no reader of its region is available. */
-	readonly readerToFollow: () => TableReader | undefined;
+	/** Readers to ask, in this order. Empty if this instance reads the store: as a reader, in a small deployment or if all readers are excluded. */
+	readonly readersToFollow: () => readonly TableReader[];
+	/** Whether this instance is a reader or the deployment is small. */
+	readonly isReader: () => boolean;
 	/** Longest time that a read of the store may wait for changes, in milliseconds. Its answer also shows that the store is available. */
 	readonly storeWaitMs: () => number;
-	/** Excludes a reader for 3 s; called when it does not answer. */
+	/** Excludes a reader for 3 s; called when it does not answer or has lost the store. */
 	readonly avoid: (id: string) => void;
 };
 
 export type TableReadersOptions = {
 	readonly clock: Clock;
-	readonly self: Omit<ReaderCandidate, 'peerAddress'>;
-	/** Serving instances, including this one. */
+	readonly self: {readonly id: string; readonly region: RegionName};
+	/** Instances that do not leave, including this one. */
 	readonly instances: () => readonly ReaderCandidate[];
+	readonly times: () => ReadTimes;
 };
 
-/** Number of readers in each availability zone. If one fails, its followers use the readers in other zones of the region. */
-const readersPerZone = 1;
+/** Largest number of instances that one reader serves; each of them sends it a few small requests a second. */
+const instancesPerReader = 40;
 /** Number of instances up to which all are readers. Their calls to the store are few, and no instance depends on another. */
 const allReadUpTo = 16;
-/** Longest wait of one read of the store. It is shorter if there are followers, which must detect an outage quickly. */
-const storeWaitWhenAllReadMs = 2500;
-const storeWaitOfReaderMs = 1500;
+/** Fraction of the largest capacity in the region from which an instance can be a reader. */
+const readerCapacityFraction = 0.5;
+const assumedCapacity = 1;
 /** Time for which a reader is excluded. It is long enough for heartbeats to show whether the reader is alive. */
 const avoidanceMs = 3000;
 
+const selectReadersOfRegion = (region: RegionName, instances: readonly ReaderCandidate[]): readonly ReaderCandidate[] => {
+	const serving = instances.filter(({isServing}) => isServing);
+	const eligible = serving.length > 0 ? serving : instances;
+	const largest = Math.max(...eligible.map(({capacity}) => capacity ?? assumedCapacity));
+	const large = new Map(eligible
+		.filter(({capacity}) => (capacity ?? assumedCapacity) >= largest * readerCapacityFraction)
+		.map(candidate => [candidate.id, candidate]));
+	return rendezvousOrder(`table-reader ${region}`, [...large.keys()])
+		.slice(0, Math.ceil(instances.length / instancesPerReader))
+		.map(id => large.get(id)!);
+};
+
 /**
  * Creates the selection of the readers.
  *
  * @param options - Monotonic clock, this instance and its peers.
  * @returns The selection.
  */
-export const createTableReaders = ({clock, self, instances}: TableReadersOptions): TableReaders => {
+export const createTableReaders = ({clock, self, instances, times}: TableReadersOptions): TableReaders => {
 	const avoidedUntilMs = new Map<string, number>();
 
-	const distance = ({region, availabilityZone}: ReaderCandidate): number => {
-		if (availabilityZone === self.availabilityZone) {
-			return 0;
+	const isSmall = () => instances().length <= allReadUpTo;
+
+	const selectReaders = (): readonly ReaderCandidate[] => {
+		const byRegion = new Map<RegionName, ReaderCandidate[]>();
+		for (const candidate of instances()) {
+			const members = byRegion.get(candidate.region) ?? [];
+			members.push(candidate);
+			byRegion.set(candidate.region, members);
 		}
 
-		return region === self.region ? 1 : 2;
+		return [...byRegion].flatMap(([region, members]) => selectReadersOfRegion(region, members));
 	};
 
+	const isReader = () => isSmall() || selectReaders().some(({id}) => id === self.id);
+
 	return {
-		readerToFollow() {
-			const candidates = instances();
-			const readers = selectPollers({members: candidates, pollersPerZone: readersPerZone, allPollThreshold: allReadUpTo});
-			if (readers.has(self.id)) {
-				return undefined;
+		readersToFollow() {
+			const readers = isSmall() ? [] : selectReaders();
+			if (readers.some(({id}) => id === self.id)) {
+				return [];
 			}
 
-			const [nearest] = candidates
-				.filter(candidate => readers.has(candidate.id) && distance(candidate) < 2 && (avoidedUntilMs.get(candidate.id) ?? 0) <= clock())
-				.toSorted((a, b) => distance(a) - distance(b) || (a.id < b.id ? -1 : 1));
-			return nearest;
+			const byId = new Map(readers.map(reader => [reader.id, reader]));
+			const order = rendezvousOrder(self.id, [...byId.keys()]).map(id => byId.get(id)!);
+			return [...order.filter(({region}) => region === self.region), ...order.filter(({region}) => region !== self.region)]
+				.filter(({id}) => (avoidedUntilMs.get(id) ?? 0) <= clock());
 		},
-		storeWaitMs: () => instances().length <= allReadUpTo ? storeWaitWhenAllReadMs : storeWaitOfReaderMs,
+		isReader,
+		storeWaitMs: () => isSmall() ? times().storeWaitMs : times().readerStoreWaitMs,
 		avoid(id) {
+			for (const [avoidedId, untilMs] of avoidedUntilMs) {
+				if (untilMs <= clock()) {
+					avoidedUntilMs.delete(avoidedId);
+				}
+			}
+
 			avoidedUntilMs.set(id, clock() + avoidanceMs);
 		},
 	};
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -57,6 +57,10 @@
 const shutdownPollMs = 50;
 /** Interval at which the list of instances is read from the store; between reads, gossip spreads changes. */
 const listIntervalMs = 5000;
+/** Added to the interval for each member beyond a small deployment; the calls of all instances together then stay below one a second. */
+const listIntervalPerMemberMs = 1500;
+/** Time until all instances that start together have registered. The first reading of the list then shows the size of the deployment. */
+const bootstrapListDelayMs = 1000;
 const heartbeatIntervalMs = 700;
 const suspectAfterMs = 2100;
 const removeAfterMs = 10_000;
@@ -94,6 +98,8 @@
 		roundIntervalMs: heartbeatIntervalMs,
 		suspectAfterMs,
 		listIntervalMs,
+		listIntervalPerMemberMs,
+		firstListDelayMs: settings().process.bootstrap === 'true' ? bootstrapListDelayMs : 0,
 		removeAfterMs,
 	});
 	const registration = startRegistration({
@@ -131,7 +137,7 @@
 	};
 
 	const trafficState = followTraffic({
-		adapter, membership, channel, clock, random, signal, planMs: () => bounds().planMs, onChange: applyTrafficState,
+		adapter, membership, channel, clock, random, signal, bounds, regionOfZone: () => settings().process.zones, onChange: applyTrafficState,
 	});
 	const connectionPool = createEndpointConnectionPool(clock);
 	const retryBudgets = new Map<string, RetryBudget>();
--- a/packages/gateway/src/trafficState.ts
+++ b/packages/gateway/src/trafficState.ts
@@ -5,15 +5,24 @@
 import {followTable} from '@filbertwell/discovery/followTable';
 import {createPlanFollower, type PlanFollower} from '@filbertwell/discovery/planFollower';
 import {createRowReplica, type RowReplica} from '@filbertwell/discovery/rowReplica';
-import {awaitChanges, createSharedTable, type ReadFromReader} from '@filbertwell/discovery/sharedTable';
+import {readTimesOf, type UpdateBounds} from '@filbertwell/discovery/readTimes';
+import {
+	awaitChanges, createSharedTable, type ReadFromReader, type SharedChanges,
+} from '@filbertwell/discovery/sharedTable';
 import {createTableReaders} from '@filbertwell/discovery/tableReaders';
 import type {VersionedRows, WatchedTable} from '@filbertwell/discovery/watchedTable';
 import {createLogger} from '@filbertwell/logger/logger';
 import type {Membership} from '@filbertwell/membership/membership';
 import type {PeerChannel} from '@filbertwell/peer-protocol/peerChannel';
+import type {ListedInstance} from '@filbertwell/platform/instanceList';
+import type {Member} from '@filbertwell/types/member';
+import type {AvailabilityZoneName, RegionName, SocketAddress} from '@filbertwell/types/place';
 import type {Clock} from '@filbertwell/utils/clock';
 import type {Random} from '@filbertwell/utils/random';
+import type {Result} from 'neverthrow';
+import {firstValueFrom, race, timer} from 'rxjs';
 import type {GatewayAdapter} from './gatewayAdapter.js';
+import {createReaderCandidates} from './readerCandidates.js';
 
 /** Current state of plan, evacuations and endpoints. */
 export type TrafficState = {
@@ -37,8 +46,9 @@
 	readonly random: Random;
 	/** Stops following the tables when it is aborted. */
 	readonly signal: AbortSignal;
-	/** Time within which an accepted plan must be in force, in milliseconds. */
-	readonly planMs: () => number;
+	/** Bounds of the deployment. */
+	readonly bounds: () => UpdateBounds;
+	readonly regionOfZone: () => ReadonlyMap<AvailabilityZoneName, RegionName>;
 	/** Called after each change of the state. */
 	readonly onChange: () => void;
 };
@@ -49,6 +59,8 @@
 /** Pauses after a read of a table. Operators' rows must take effect immediately; registrations arrive in bursts. */
 const operatorPauseMs = 20;
 const registrationPauseMs = 200;
+/** Time after which the tables are read although the list of instances could not be read. */
+const listTimeoutMs = 2000;
 
 /**
  * Starts following the tables of the platform.
@@ -56,7 +68,14 @@
  * @param options - Platform, peers and change callback.
  * @returns The state; empty until the first successful read.
  */
-export const followTraffic = ({adapter, membership, channel, clock, random, signal, planMs, onChange}: TrafficStateOptions): TrafficState => {
+export const followTraffic = ({adapter, membership, channel, clock, random, signal, bounds, regionOfZone, onChange}: TrafficStateOptions): TrafficState => {
+	let listed: readonly ListedInstance[] = [];
+	membership.listed.subscribe(instances => {
+		listed = instances;
+	});
+	// Shows how large the deployment is, and with it who reads the store.
+	const firstListing = firstValueFrom(race(membership.listed, timer(listTimeoutMs)));
+	const times = () => readTimesOf(bounds());
 	const log = createLogger('discovery');
 	const planFollower = createPlanFollower(adapter.decodeOperatorRow, log);
 	const endpointDirectory = createEndpointDirectory({decode: adapter.decodeEndpoint, clock, log});
@@ -64,37 +83,47 @@
 
 	const isPlanBehindPeers = (): boolean => {
 		const version = planFollower.plan()?.version ?? 0;
-		return membership.members().some(({configurationVersion}) => configurationVersion > version);
+		return membership.members().some(({configurationVersion, health}) => health === 'alive' && configurationVersion > version);
 	};
 
-	const readRowsFromPeer = async (table: TableName): Promise<VersionedRows | undefined> => {
+	/** Chooses the peer with the newest plan for the operators' rows, and any peer for the registrations. */
+	const choosePeer = (table: TableName): Member | undefined => {
 		const self = membership.self();
 		const peers = membership.members().filter(({id, health}) => id !== self.id && health === 'alive');
-		const peer = peers[Math.floor(random() * peers.length)];
-		if (peer === undefined) {
-			return undefined;
-		}
+		const newest = Math.max(...peers.map(({configurationVersion}) => configurationVersion));
+		const eligible = table === 'operators' ? peers.filter(({configurationVersion}) => configurationVersion === newest) : peers;
+		return eligible[Math.floor(random() * eligible.length)];
+	};
 
-		const response = await channel.call(peer.peerAddress, 'discovery.rows', {table, newerThan: replicas[table].version() ?? -1});
-		return response.isOk() ? response.value.reading : undefined;
+	const readRowsFrom = async (address: SocketAddress, table: TableName, newerThan: number): Promise<Result<SharedChanges, string>> => {
+		const response = await channel.call(address, 'discovery.rows', {table, newerThan});
+		return response
+			.map(({reading, ageMs = Number.POSITIVE_INFINITY}) => ({reading, ageMs}))
+			.mapErr(({detail}) => detail);
+	};
+
+	const readRowsFromPeer = async (table: TableName): Promise<VersionedRows | undefined> => {
+		const peer = choosePeer(table);
+		const response = peer === undefined ? undefined : await readRowsFrom(peer.peerAddress, table, replicas[table].version() ?? -1);
+		return response?.isOk() === true && response.value.reading !== undefined
+			? {...response.value.reading, ageMs: response.value.ageMs}
+			: undefined;
 	};
 
 	channel.handle('discovery.rows', ({table, newerThan}) => {
 		const snapshot = replicas[table].snapshot();
 		return snapshot === undefined || snapshot.version <= newerThan
-			? {}
-			: {reading: {version: snapshot.version, rows: snapshot.rows.map(({key, value}) => ({key, value: value ?? ''}))}};
+			? {ageMs: replicas[table].ageMs()}
+			: {ageMs: replicas[table].ageMs(), reading: {version: snapshot.version, rows: snapshot.rows.map(({key, value}) => ({key, value: value ?? ''}))}};
 	});
 
 	channel.handle('discovery.changes', async ({table, after, waitMs}) => {
-		const {reading, ageMs} = await awaitChanges(replicas[table], after, waitMs, clock);
+		const {reading, ageMs} = await awaitChanges(replicas[table], after, waitMs, {clock, staleAfterMs: times().staleAfterMs});
 		return {ageMs, ...(reading !== undefined && {reading: {version: reading.version, rows: [...reading.rows]}})};
 	});
 
 	const readers = createTableReaders({
-		clock,
-		self: membership.self(),
-		instances: () => membership.members().filter(({health, state}) => health === 'alive' && state === 'serving'),
+		clock, self: membership.self(), instances: createReaderCandidates({membership, listed: () => listed, regionOfZone}), times,
 	});
 	const readChangesFromReader = (table: TableName): ReadFromReader => async ({peerAddress}, afterVersion, waitMs) => {
 		const response = await channel.call(peerAddress, 'discovery.changes', {table, after: afterVersion, waitMs});
@@ -104,29 +133,31 @@
 	};
 
 	const sharedTable = (table: TableName, store: WatchedTable): WatchedTable => createSharedTable({
-		store, readers, readFromReader: readChangesFromReader(table), clock,
+		store, readers, readFromReader: readChangesFromReader(table), readAllFromReader: async ({peerAddress}) => readRowsFrom(peerAddress, table, -1), clock, times,
 	});
 	const commonOptions = {
 		random, log, signal, waitMs: readers.storeWaitMs,
 	};
-	void followTable({
+	const followOperators = async () => followTable({
 		...commonOptions,
 		name: 'operators',
 		table: sharedTable('operators', adapter.operators),
 		replica: replicas.operators,
 		readFromPeer: async () => readRowsFromPeer('operators'),
+		isBehindPeers: isPlanBehindPeers,
 		pauseMs: operatorPauseMs,
 		onChange({rows}) {
 			planFollower.apply(rows);
 			onChange();
 		},
 	});
-	void followTable({
+	const followRegistrations = async () => followTable({
 		...commonOptions,
 		name: 'registrations',
 		table: sharedTable('registrations', adapter.registrations),
 		replica: replicas.registrations,
 		readFromPeer: async () => readRowsFromPeer('registrations'),
+		isBehindPeers: () => false,
 		pauseMs: registrationPauseMs,
 		onChange(change) {
 			endpointDirectory.apply(change);
@@ -134,10 +165,17 @@
 		},
 	});
 
+	const follow = async () => {
+		await firstListing;
+		await Promise.all([followOperators(), followRegistrations()]);
+	};
+
+	void follow();
+
 	return {
 		plan: planFollower.plan,
 		planAgeMs: replicas.operators.ageMs,
-		isPlanOutdated: () => replicas.operators.ageMs() > planMs() || isPlanBehindPeers(),
+		isPlanOutdated: () => replicas.operators.ageMs() > bounds().planMs || isPlanBehindPeers(),
 		evacuatedZones: planFollower.evacuatedZones,
 		endpoints: endpointDirectory.endpoints,
 		removeExpired() {
--- a/packages/logger/src/events/discoveryEvents.ts
+++ b/packages/logger/src/events/discoveryEvents.ts
@@ -50,4 +50,7 @@
 	routeKindUnknown: {
 		number: 10_012, name: 'routeKindUnknown', level: 'warn', meaning: 'Routes of the traffic plan have a kind that this version does not know; their requests run once at most. Update the program or correct the plan.',
 	},
+	snapshotOutdated: {
+		number: 10_013, name: 'snapshotOutdated', level: 'info', meaning: 'The store returned rows of an older version than those already known; they are ignored and read again.',
+	},
 });
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -44,6 +44,8 @@
 	readonly listIntervalMs?: number;
 	/** Added to the interval between readings of the list for each member beyond a small deployment. */
 	readonly listIntervalPerMemberMs?: number;
+	/** Delay of the first reading of the list; 0 by default. */
+	readonly firstListDelayMs?: number;
 	/** Time for which an unlisted member must be suspect before it is removed. */
 	readonly removeAfterMs?: number;
 };
@@ -88,6 +90,7 @@
 		log,
 		minimumIntervalMs: options.listIntervalMs ?? defaultListIntervalMs,
 		intervalPerMemberMs: options.listIntervalPerMemberMs ?? defaultListIntervalPerMemberMs,
+		firstDelayMs: options.firstListDelayMs ?? 0,
 		members: () => table.known().size,
 	});
 	const joinAddresses = createJoinAddresses({seeds: options.seeds, self, table});
--- a/packages/membership/src/instanceListPoller.ts
+++ b/packages/membership/src/instanceListPoller.ts
@@ -36,6 +36,8 @@
 	readonly minimumIntervalMs: number;
 	/** Added to the interval for each member beyond a small deployment, so that the load on the platform and the bytes read stay bounded. */
 	readonly intervalPerMemberMs: number;
+	/** Delay of the first reading, in milliseconds. */
+	readonly firstDelayMs: number;
 	/** Returns the current number of members. */
 	readonly members: () => number;
 };
@@ -51,7 +53,7 @@
  * @returns The poller; it starts to poll when `run` is called.
  */
 export const createInstanceListPoller = (options: InstanceListPollerOptions): InstanceListPoller => {
-	const {instances, clock, random, log, minimumIntervalMs, intervalPerMemberMs, members} = options;
+	const {instances, clock, random, log, minimumIntervalMs, intervalPerMemberMs, firstDelayMs, members} = options;
 	const readings = new Subject<ListReading>();
 	let latest: ListReading | undefined;
 
@@ -66,19 +68,33 @@
 		readings.next(latest);
 	};
 
-	const intervalMs = (): number => {
-		const baseIntervalMs = minimumIntervalMs + (Math.max(members() - smallDeploymentMembers, 0) * intervalPerMemberMs);
-		return baseIntervalMs * (1 + (jitter * ((2 * random()) - 1)));
+	const intervalMs = (): number => minimumIntervalMs + (Math.max(members() - smallDeploymentMembers, 0) * intervalPerMemberMs);
+
+	/** Waits for the interval, which grows while members are discovered. */
+	const waitForInterval = async (signal: AbortSignal): Promise<boolean> => {
+		const jitterFactor = 1 + (jitter * ((2 * random()) - 1));
+		const startedAtMs = clock();
+		for (;;) {
+			const remainingMs = (intervalMs() * jitterFactor) - (clock() - startedAtMs);
+			if (remainingMs <= 0) {
+				return !signal.aborted;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			if (!await waitUnlessAborted(remainingMs, signal)) {
+				return false;
+			}
+		}
 	};
 
 	return {
 		latest: () => latest,
 		readings,
 		async run(signal) {
-			let shouldContinue = !signal.aborted;
+			let shouldContinue = firstDelayMs === 0 ? !signal.aborted : await waitUnlessAborted(firstDelayMs, signal);
 			while (shouldContinue) {
 				await read(); // eslint-disable-line no-await-in-loop
-				shouldContinue = await waitUnlessAborted(intervalMs(), signal); // eslint-disable-line no-await-in-loop
+				shouldContinue = await waitForInterval(signal); // eslint-disable-line no-await-in-loop
 			}
 
 			readings.complete();
--- a/packages/peer-protocol/src/methods.ts
+++ b/packages/peer-protocol/src/methods.ts
@@ -76,6 +76,8 @@
 				version: z.number().int().nonnegative(),
 				rows: z.array(z.object({key: z.string(), value: z.string()}).readonly()).readonly(),
 			}).readonly().optional(),
+			/** Milliseconds since the copy was last known to be current; peers of earlier versions do not send it. */
+			ageMs: z.number().nonnegative().optional(),
 		}).readonly(),
 	},
 } as const;
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -4,7 +4,7 @@
 import type {Result} from 'neverthrow';
 import {loadSettings, type SettingsSchema, type SettingsValues} from './loadSettings.js';
 import {
-	addressListSetting, addressSetting, countSetting, hostSetting, listenPortSetting, nameMapSetting, nameSetting, numberMapSetting,
+	addressListSetting, addressSetting, countSetting, flagSetting, hostSetting, listenPortSetting, nameMapSetting, nameSetting, numberMapSetting,
 } from './setting.js';
 import {logSection} from './processSections.js';
 import type {SettingsError} from './settingsError.js';
@@ -18,6 +18,7 @@
 			region: nameSetting({description: 'Region of the instance.'}),
 			availabilityZone: nameSetting({description: 'Availability zone of the instance.'}),
 			processor: numberMapSetting({description: 'Processor capacity that the process may use: `share` of a core on `cores` cores; each defaults to 1.', defaultText: ''}),
+			bootstrap: flagSetting({description: 'Whether all instances of the deployment start for the first time; the list of instances is then read a second later.', defaultText: 'false'}),
 			zones: nameMapSetting({description: 'Region of each availability zone of the deployment, as `zone:region`.'}),
 		},
 	},
--- a/packages/settings/src/setting.ts
+++ b/packages/settings/src/setting.ts
@@ -92,6 +92,15 @@
 	description: details.description,
 });
 
+/** Setting that is either true or false. */
+export const flagSetting = (details: SettingDetails): Setting<'true' | 'false'> => ({
+	...details,
+	schema: z.enum(['true', 'false']),
+	defaultText: details.defaultText,
+	expected: '`true` or `false`',
+	unit: '',
+});
+
 /** An IP address to listen on or to connect to. */
 export const hostSetting = (details: SettingDetails): Setting<string> => ({
 	schema: z.string().refine(text => isIP(text) > 0),
