Peers and bundle: compressed messages, less memory

Cause: 195 instances exchanged 83 MB in the first 12 s: heartbeats of 1,090 bytes on average, and rows and members as JSON. The bundle of 2 MB held all locales of zod and all operators of rxjs.

Change: heartbeats are compressed for members that announce that they accept it, and answers from 2 KiB for peers that ask for it; members of earlier versions get them as before.

--- a/packages/cli/src/adminClient.ts
+++ b/packages/cli/src/adminClient.ts
@@ -10,7 +10,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {entryStateSchema, explanationSchema} from './adminSchemas.js';
 
 /** A failed request to an entry's admin address. */
--- a/packages/cli/src/adminSchemas.ts
+++ b/packages/cli/src/adminSchemas.ts
@@ -3,7 +3,7 @@
  * command line works with entries of a newer release.
  */
 import type {EntryState, Explanation} from '@filbertwell/types/entryState';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const numberSchema = z.number();
 
--- a/packages/configuration/src/head.ts
+++ b/packages/configuration/src/head.ts
@@ -2,7 +2,7 @@
  * The head: the record of the accepted configuration, which references its manifest.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {partReferenceSchema, type PartReference} from './partReference.js';
 
 /** Key of the row that holds the head of the accepted configuration. */
--- a/packages/configuration/src/offer.ts
+++ b/packages/configuration/src/offer.ts
@@ -3,7 +3,7 @@
  * entries right after the acceptance, so that the change spreads even if the platform fails.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Acceptance} from './acceptConfiguration.js';
 import {formatHead} from './head.js';
 
--- a/packages/configuration/src/partFormats.ts
+++ b/packages/configuration/src/partFormats.ts
@@ -5,7 +5,7 @@
  */
 import type {ClientBlock, Intent} from '@filbertwell/types/intent';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {partReferenceSchema, type PartReference} from './partReference.js';
 
 /** Error of a part that cannot be parsed. */
--- a/packages/configuration/src/partReference.ts
+++ b/packages/configuration/src/partReference.ts
@@ -1,7 +1,7 @@
 /**
  * References to the parts of a configuration in the object store: a generation and a content hash.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Prefix of the keys of all parts in the object store. */
 export const partPrefix = 'config/parts/';
--- a/packages/entry/src/loadReportParser.ts
+++ b/packages/entry/src/loadReportParser.ts
@@ -2,7 +2,7 @@
  * Parses load reports of upstreams and validates them, because upstreams may send malformed ones.
  */
 import type {LoadReport} from '@filbertwell/types/loadReport';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** In characters. */
 const maximumReportLength = 1000;
--- a/packages/intent/src/checkIntent.ts
+++ b/packages/intent/src/checkIntent.ts
@@ -3,7 +3,7 @@
  */
 import type {Intent} from '@filbertwell/types/intent';
 import {err, ok, type Result} from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {checkCapacity} from './checks/checkCapacity.js';
 import {checkDrains} from './checks/checkDrains.js';
 import {checkLookups} from './checks/checkLookups.js';
--- a/packages/intent/src/intentSchema.ts
+++ b/packages/intent/src/intentSchema.ts
@@ -5,7 +5,7 @@
 import {isIP} from 'node:net';
 import {type Intent, requestClasses} from '@filbertwell/types/intent';
 import {nearestName} from '@filbertwell/utils/nearestName';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Creates an object schema that rejects unknown keys; the error names the most similar known key. */
 const strictObject = <Shape extends Readonly<Record<string, z.ZodType>>>(shape: Shape) => z.strictObject(shape, {
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -139,8 +139,8 @@
 		clock,
 		random,
 		suspectAfterProbes: Math.max(Math.ceil(suspectAfterMs / roundIntervalMs), 2),
-		send(to, heartbeat) {
-			channel.sendHeartbeat(to, heartbeat);
+		send(to, heartbeat, acceptsDeflate) {
+			channel.sendHeartbeat(to, heartbeat, acceptsDeflate);
 		},
 		onUnknown(ids, from) {
 			void fetcher.fetchUnknown(ids, from);
--- a/packages/membership/src/heartbeatExchange.ts
+++ b/packages/membership/src/heartbeatExchange.ts
@@ -35,7 +35,8 @@
 export type HeartbeatExchangeOptions = {
 	readonly self: SelfAnnouncement;
 	readonly table: MemberTable;
-	readonly send: (to: SocketAddress, heartbeat: Heartbeat) => void;
+	/** Sends a heartbeat; compressed if the receiver accepts that. */
+	readonly send: (to: SocketAddress, heartbeat: Heartbeat, acceptsDeflate: boolean) => void;
 	readonly clock: Clock;
 	readonly random: Random;
 	/** Number of unanswered probes, one per round, after which a peer becomes suspect. */
@@ -76,11 +77,15 @@
 	let helper: string | undefined;
 	let isSuperseded = false;
 
+	const sendToMember = ({id, peerAddress, acceptsDeflate}: Member, kind: 'probe' | 'news') => {
+		send(peerAddress, composer.compose(kind, id, []), acceptsDeflate === true);
+	};
+
 	const probe = (id: string) => {
 		const known = table.get(id);
 		if (known !== undefined) {
 			probeTracker.recordProbe(id);
-			send(known.member.peerAddress, composer.compose('probe', id, []));
+			sendToMember(known.member, 'probe');
 		}
 	};
 
@@ -88,7 +93,7 @@
 		for (const id of probeOrder.sample(table.known(), fanout)) {
 			const known = table.get(id);
 			if (known !== undefined && broadcastBudget.tryTake(1)) {
-				send(known.member.peerAddress, composer.compose('news', id, []));
+				sendToMember(known.member, 'news');
 			}
 		}
 	};
@@ -152,7 +157,7 @@
 		const known = table.get(id);
 		const isOlderThanKnown = known !== undefined && known.member.incarnation > heartbeat.sender.incarnation;
 		const requestedIds = (heartbeat.unheard ?? []).slice(0, maximumUnheardIds);
-		send(from, composer.compose('reply', id, isOlderThanKnown ? [id, ...requestedIds] : requestedIds));
+		send(from, composer.compose('reply', id, isOlderThanKnown ? [id, ...requestedIds] : requestedIds), known?.member.acceptsDeflate === true);
 		for (const unheard of requestedIds) {
 			if (table.get(unheard)?.member.health === 'alive' && probeTracker.markUnresponsive(unheard)) {
 				probe(unheard);
@@ -197,7 +202,7 @@
 			}
 
 			for (const address of joinAddresses) {
-				send(address, composer.compose('probe', undefined, []));
+				send(address, composer.compose('probe', undefined, []), false);
 			}
 		},
 		receive({from, heartbeat}) {
--- a/packages/membership/src/selfAnnouncement.ts
+++ b/packages/membership/src/selfAnnouncement.ts
@@ -57,6 +57,7 @@
 	let sequence = 1;
 	let member: Member = {
 		...identity,
+		acceptsDeflate: true,
 		incarnation: firstIncarnation,
 		state: 'starting',
 		health: 'alive',
--- a/packages/peer-protocol/src/__tests__/datagram.test.ts
+++ b/packages/peer-protocol/src/__tests__/datagram.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {deflateRawSync} from 'node:zlib';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {
@@ -41,3 +42,24 @@
 	const beats = Array.from({length: 16}, () => sender);
 	expect(encodeHeartbeat({kind: 'probe', sender, beats})._unsafeUnwrapErr().kind).toBe('tooLarge');
 });
+
+test('a compressed heartbeat is decoded to the same heartbeat and takes less than half of the bytes', () => {
+	fc.assert(fc.property(fc.integer({min: 2, max: 7}), fc.integer({min: 1, max: 2 ** 40}), (count, incarnation) => {
+		const beats = Array.from({length: count}, (_, index) => ({
+			...sender, id: `front-region-zone-${index}`, incarnation: incarnation + index, sequence: index * 31,
+		}));
+		const heartbeat: Heartbeat = {kind: 'reply', sender, beats};
+		const compressed = encodeHeartbeat(heartbeat, true)._unsafeUnwrap();
+		expect(compressed.length).toBeLessThan(encodeHeartbeat(heartbeat)._unsafeUnwrap().length / 2);
+		expect(decodeHeartbeat(compressed)._unsafeUnwrap()).toEqual(heartbeat);
+	}), {seed});
+});
+
+test('a compressed datagram that is damaged or expands over the limit is rejected', () => {
+	const compressed = encodeHeartbeat({kind: 'probe', sender}, true)._unsafeUnwrap();
+	expect(decodeHeartbeat(compressed.subarray(0, compressed.length / 2))._unsafeUnwrapErr().kind).toBe('malformed');
+	expect(decodeHeartbeat(Buffer.concat([Buffer.of(1), Buffer.alloc(50, 7)]))._unsafeUnwrapErr().kind).toBe('malformed');
+	const expanding = Buffer.concat([Buffer.of(1), deflateRawSync(Buffer.alloc(1_000_000, 32))]);
+	expect(expanding.length).toBeLessThan(maximumDatagramBytes);
+	expect(decodeHeartbeat(expanding)._unsafeUnwrapErr().kind).toBe('malformed');
+});
--- a/packages/peer-protocol/src/__tests__/peerChannel.test.ts
+++ b/packages/peer-protocol/src/__tests__/peerChannel.test.ts
@@ -45,6 +45,29 @@
 	expect(a.traffic().datagramBytesOut).toBe(b.traffic().datagramBytesIn);
 });
 
+test('a heartbeat arrives complete if it is compressed', async () => {
+	const [a, b] = [await openChannel(), await openChannel()];
+	const received = firstValueFrom(b.heartbeats);
+	expect(a.sendHeartbeat(b.address, heartbeat, true)).toBeGreaterThan(0);
+	expect(await received).toEqual({from: a.address, heartbeat});
+});
+
+test('a long answer is compressed for a peer that accepts it, and only for such a peer', async () => {
+	const content = 'front-region-zone '.repeat(5000);
+	const server = await openChannel(() => ({content}));
+	const client = await openChannel();
+	const answer = await client.call(server.address, 'configuration.part', {hash: 'abc'});
+	expect(answer._unsafeUnwrap()).toEqual({content});
+	expect(client.traffic().rpcBytesIn).toBeLessThan(content.length / 10);
+	const earlierPeer = await fetch(`http://127.0.0.1:${server.address.port}/rpc`, {
+		method: 'POST', headers: {'accept-encoding': 'identity'}, body: JSON.stringify({
+			jsonrpc: '2.0', id: 1, method: 'configuration.part', params: {hash: 'abc'},
+		}),
+	});
+	expect(earlierPeer.headers.get('content-encoding')).toBeNull();
+	expect(await earlierPeer.json()).toMatchObject({result: {content}});
+});
+
 test('datagrams that are not heartbeats are dropped, and later heartbeats still arrive', async () => {
 	const [a, b] = [await openChannel(), await openChannel()];
 	const received = firstValueFrom(b.heartbeats);
--- a/packages/peer-protocol/src/datagram.ts
+++ b/packages/peer-protocol/src/datagram.ts
@@ -1,10 +1,12 @@
 /**
- * Encodes and decodes heartbeats as JSON-RPC notifications, each in a single datagram.
+ * Encodes and decodes heartbeats as JSON-RPC notifications, each in a single datagram. A compressed datagram starts with
+ * a marker byte that no JSON text starts with.
  */
 import {Buffer} from 'node:buffer';
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {createJSONRPCNotification, isJSONRPCRequest} from 'json-rpc-2.0';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {heartbeatSchema, type Heartbeat} from './heartbeat.js';
 import {describeThrown, type PeerError} from './peerError.js';
 
@@ -12,18 +14,40 @@
 export const maximumDatagramBytes = 1200;
 
 const heartbeatMethod = 'heartbeat';
+const compressionMarker = 1;
+/** Text that heartbeats repeat. All members that compress must use the same one. */
+const compressionDictionary = Buffer.from(JSON.stringify(createJSONRPCNotification(heartbeatMethod, {
+	kind: 'news',
+	sender: {
+		id: 'entry', incarnation: 0, sequence: 1, state: 'starting', health: 'suspect', configurationVersion: 0, load: {inFlight: 0, queued: 0, requestsPerSecond: 0},
+	},
+	records: [{
+		id: '-1', role: 'entry', incarnation: 1, region: '', availabilityZone: '', site: '', capacity: 1,
+		callerAddress: {host: '10.0.0.', port: 8}, peerAddress: {host: '10.0.0.', port: 7}, acceptsDeflate: true,
+		state: 'leaving', health: 'alive', configurationVersion: 1, sequence: 2,
+	}],
+	unheard: [],
+	beats: [{
+		id: '-2', incarnation: 17, sequence: 3, state: 'serving', health: 'alive', configurationVersion: 2,
+	}, {id: 'probe', incarnation: 'reply'}],
+})));
+/** A small window and little memory suffice for a datagram. */
+const compressionOptions = {dictionary: compressionDictionary, windowBits: 12, memLevel: 5};
 
 /**
  * Encodes a heartbeat.
  *
  * @param heartbeat - Heartbeat to send.
- * @returns The datagram; `tooLarge` if it exceeds `maximumDatagramBytes`.
+ * @param isCompressed - Whether to compress it, which the receiver must accept.
+ * @returns The datagram; `tooLarge` if it exceeds `maximumDatagramBytes` before compression.
  */
-export const encodeHeartbeat = (heartbeat: Heartbeat): Result<Uint8Array, PeerError> => {
+export const encodeHeartbeat = (heartbeat: Heartbeat, isCompressed = false): Result<Uint8Array, PeerError> => {
 	const datagram = Buffer.from(JSON.stringify(createJSONRPCNotification(heartbeatMethod, heartbeat)));
-	return datagram.length > maximumDatagramBytes
-		? err({kind: 'tooLarge', detail: `heartbeat of ${datagram.length} bytes exceeds the limit of ${maximumDatagramBytes} bytes; send fewer records`})
-		: ok(datagram);
+	if (datagram.length > maximumDatagramBytes) {
+		return err({kind: 'tooLarge', detail: `heartbeat of ${datagram.length} bytes exceeds the limit of ${maximumDatagramBytes} bytes; send fewer records`});
+	}
+
+	return ok(isCompressed ? Buffer.concat([Buffer.of(compressionMarker), deflateRawSync(datagram, compressionOptions)]) : datagram);
 };
 
 /**
@@ -65,6 +89,18 @@
 	return parsed.success ? ok(parsed.data) : err({kind: 'malformed', detail: z.prettifyError(parsed.error)});
 };
 
+const decompress = (datagram: Uint8Array): Result<string, PeerError> => {
+	if (datagram[0] !== compressionMarker) {
+		return ok(Buffer.from(datagram).toString('utf8'));
+	}
+
+	try {
+		return ok(inflateRawSync(datagram.subarray(1), {...compressionOptions, maxOutputLength: maximumDatagramBytes}).toString('utf8'));
+	} catch (error) {
+		return err({kind: 'malformed', detail: describeThrown(error)});
+	}
+};
+
 /**
  * Decodes a datagram.
  *
@@ -73,4 +109,4 @@
  */
 export const decodeHeartbeat = (datagram: Uint8Array): Result<Heartbeat, PeerError> => datagram.length > maximumDatagramBytes
 	? err({kind: 'tooLarge', detail: `datagram of ${datagram.length} bytes exceeds the limit`})
-	: parseJson(Buffer.from(datagram).toString('utf8')).andThen(message => checkHeartbeat(message));
+	: decompress(datagram).andThen(text => parseJson(text)).andThen(message => checkHeartbeat(message));
--- a/packages/peer-protocol/src/heartbeat.ts
+++ b/packages/peer-protocol/src/heartbeat.ts
@@ -1,7 +1,7 @@
 /**
  * Heartbeats, the small messages that members exchange in single datagrams.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {memberBeatSchema, memberRecordSchema, type MemberBeat} from './memberRecord.js';
 
 const maximumItems = 16;
--- a/packages/peer-protocol/src/memberRecord.ts
+++ b/packages/peer-protocol/src/memberRecord.ts
@@ -1,7 +1,7 @@
 /**
  * Schemas of the member state that peers exchange.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const maximumNameLength = 64;
 const maximumPort = 65_535;
@@ -45,6 +45,7 @@
 	capacity: z.number().positive().optional(),
 	callerAddress: socketAddressSchema,
 	peerAddress: socketAddressSchema,
+	acceptsDeflate: z.boolean().optional(),
 }).readonly();
 
 /**
--- a/packages/peer-protocol/src/methods.ts
+++ b/packages/peer-protocol/src/methods.ts
@@ -1,7 +1,7 @@
 /**
  * Schemas of the JSON-RPC methods that peers call over HTTP.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {memberRecordSchema} from './memberRecord.js';
 
 const maximumListedIds = 64;
--- a/packages/peer-protocol/src/peerChannel.ts
+++ b/packages/peer-protocol/src/peerChannel.ts
@@ -27,8 +27,8 @@
 export type PeerChannel = {
 	/** Address in use; its port is the assigned one if port 0 was requested. */
 	readonly address: SocketAddress;
-	/** Sends a heartbeat without waiting. Returns its size in bytes; 0 if it could not be sent. */
-	readonly sendHeartbeat: (to: SocketAddress, heartbeat: Heartbeat) => number;
+	/** Sends a heartbeat without waiting, compressed if the receiver accepts that. Returns its size in bytes; 0 if it could not be sent. */
+	readonly sendHeartbeat: (to: SocketAddress, heartbeat: Heartbeat, acceptsDeflate?: boolean) => number;
 	/** Emits each valid heartbeat; invalid datagrams are logged and dropped. */
 	readonly heartbeats: Observable<ReceivedHeartbeat>;
 	readonly call: PeerCall;
@@ -114,8 +114,8 @@
 	return {
 		address: {host: address.host, port},
 		heartbeats,
-		sendHeartbeat(to, heartbeat) {
-			const datagram = encodeHeartbeat(heartbeat);
+		sendHeartbeat(to, heartbeat, acceptsDeflate = false) {
+			const datagram = encodeHeartbeat(heartbeat, acceptsDeflate);
 			if (isClosed || datagram.isErr()) {
 				log(membershipEvents.datagramNotSent, {to: `${to.host}:${to.port}`, reason: datagram.isErr() ? datagram.error.detail : 'channel closed'});
 				return 0;
--- a/packages/peer-protocol/src/rpcClient.ts
+++ b/packages/peer-protocol/src/rpcClient.ts
@@ -7,8 +7,8 @@
 import type {SocketAddress} from '@filbertwell/types/place';
 import {createJSONRPCRequest, isJSONRPCResponse} from 'json-rpc-2.0';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
-import {readBody} from './httpBody.js';
+import * as z from 'zod';
+import {readEncodedBody, type EncodedBody} from './httpBody.js';
 import {
 	methodSchemas, type MethodName, type MethodParameters, type MethodResult,
 } from './methods.js';
@@ -74,17 +74,17 @@
 			method: 'POST',
 			path: rpcPath,
 			signal,
-			headers: {'content-type': 'application/json', 'content-length': body.length},
+			headers: {'content-type': 'application/json', 'content-length': body.length, 'accept-encoding': 'gzip'},
 		});
 		outgoing.on('response', resolve);
 		outgoing.on('error', reject);
 		outgoing.end(body);
 	});
 
-	const exchange = async (to: SocketAddress, body: Uint8Array, signal: AbortSignal): Promise<Result<string, PeerError>> => {
+	const exchange = async (to: SocketAddress, body: Uint8Array, signal: AbortSignal): Promise<Result<EncodedBody, PeerError>> => {
 		try {
 			const response = await post(to, body, signal);
-			return await readBody(response, maximumAnswerBytes);
+			return await readEncodedBody(response, maximumAnswerBytes);
 		} catch (error) {
 			return err({kind: 'unreachable', detail: describeThrown(error)});
 		}
@@ -109,8 +109,8 @@
 			traffic.countRpcOut(body.length);
 			const answer = await exchange(to, body, timeout.signal);
 			finished.abort();
-			traffic.countRpcIn(answer.isOk() ? Buffer.byteLength(answer.value) : 0);
-			return answer.andThen(text => parseAnswer(method, text));
+			traffic.countRpcIn(answer.isOk() ? answer.value.transferredBytes : 0);
+			return answer.andThen(({text}) => parseAnswer(method, text));
 		},
 		close() {
 			agent.destroy();
--- a/packages/peer-protocol/src/rpcServer.ts
+++ b/packages/peer-protocol/src/rpcServer.ts
@@ -5,8 +5,10 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {promisify} from 'node:util';
+import {gzip} from 'node:zlib';
 import {JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
-import {z} from 'zod';
+import * as z from 'zod';
 import {readBody} from './httpBody.js';
 import {
 	methodSchemas, type MethodHandler, type MethodName,
@@ -20,6 +22,11 @@
 const maximumRequestBytes = 65_536;
 const requestTimeoutMs = 5000;
 const maximumConnections = 256;
+/** Size from which a response is compressed; a smaller one fits into one or two packets. */
+const compressedFromBytes = 2048;
+/** Rows and records compress well at the fastest level. */
+const compressionLevel = 1;
+const compress = promisify(gzip);
 
 /**
  * Sets the handler of a method and replaces an earlier one.
@@ -46,13 +53,28 @@
  */
 export const createDispatcher = (): JSONRPCServer => new JSONRPCServer({errorListener: () => undefined});
 
-const send = (response: ServerResponse, status: number, body: string, traffic: TrafficCounter) => {
-	const content = Buffer.from(body);
-	response.writeHead(status, {'content-type': 'application/json', 'content-length': content.length});
+/** Response body with its status. */
+type RpcAnswer = {
+	readonly status: number;
+	readonly content: Uint8Array;
+	readonly encoding?: 'gzip';
+};
+
+const send = (response: ServerResponse, {status, content, encoding}: RpcAnswer, traffic: TrafficCounter) => {
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': content.length, ...(encoding !== undefined && {'content-encoding': encoding})});
 	response.end(content);
 	traffic.countRpcOut(content.length);
 };
 
+/** Compresses a long body if the peer accepts that. */
+const encode = async (request: IncomingMessage, body: string): Promise<RpcAnswer> => {
+	const content = Buffer.from(body);
+	const acceptsGzip = request.headers['accept-encoding']?.includes('gzip') === true;
+	return acceptsGzip && content.length >= compressedFromBytes
+		? {status: 200, content: await compress(content, {level: compressionLevel}), encoding: 'gzip'}
+		: {status: 200, content};
+};
+
 /**
  * Creates an HTTP server for JSON-RPC requests.
  *
@@ -63,20 +85,20 @@
 export const createRpcServer = (dispatcher: JSONRPCServer, traffic: TrafficCounter): Server => {
 	const answer = async (request: IncomingMessage, response: ServerResponse) => {
 		if (request.method !== 'POST' || request.url !== rpcPath) {
-			send(response, 404, `{"error":"use POST ${rpcPath}"}`, traffic);
+			send(response, {status: 404, content: Buffer.from(`{"error":"use POST ${rpcPath}"}`)}, traffic);
 			return;
 		}
 
 		const body = await readBody(request, maximumRequestBytes);
 		if (body.isErr()) {
 			response.shouldKeepAlive = false;
-			send(response, 413, JSON.stringify({error: body.error.detail}), traffic);
+			send(response, {status: 413, content: Buffer.from(JSON.stringify({error: body.error.detail}))}, traffic);
 			return;
 		}
 
 		traffic.countRpcIn(Buffer.byteLength(body.value));
 		const rpcResponse = await dispatcher.receiveJSON(body.value);
-		send(response, 200, JSON.stringify(rpcResponse), traffic);
+		send(response, await encode(request, JSON.stringify(rpcResponse)), traffic);
 	};
 
 	const server = createServer(async (request, response) => {
--- a/packages/platform/src/httpPlatform.ts
+++ b/packages/platform/src/httpPlatform.ts
@@ -12,7 +12,7 @@
 import {
 	err, ok, ResultAsync, type Result,
 } from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {createCircuitBreaker, type CircuitState} from './circuitBreaker.js';
 import {createConcurrencyLimit} from './concurrencyLimit.js';
 import type {FaultTarget} from './faultPlan.js';
--- a/packages/platform/src/lease.ts
+++ b/packages/platform/src/lease.ts
@@ -7,7 +7,7 @@
 import {platformEvents} from '@filbertwell/logger/events/platformEvents';
 import type {Logger} from '@filbertwell/logger/logger';
 import type {Clock} from '@filbertwell/utils/clock';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Row, RowCheck, Table} from './table.js';
 
 export type LeaseOptions = {
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -1,7 +1,7 @@
 /**
  * Schemas of the platform's HTTP interface, validated by client and server.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ListedInstance} from './instanceList.js';
 import type {Transaction, TransactionResult} from './table.js';
 
--- a/packages/settings/src/setting.ts
+++ b/packages/settings/src/setting.ts
@@ -2,7 +2,7 @@
  * Types of settings: how the text of an INI value is validated and converted to a typed value.
  */
 import {isIP} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {SocketAddress} from '@filbertwell/types/place';
 
 /** Definition of one key of a settings file. */
--- a/packages/standins/src/platformFaultCommand.ts
+++ b/packages/standins/src/platformFaultCommand.ts
@@ -2,7 +2,7 @@
  * Schema of the command that sets the faults of the platform stand-in, over HTTP or on the command line.
  */
 import {faultKinds, faultTargets, type Fault} from '@filbertwell/platform/faultPlan';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const faultSchema: z.ZodType<Fault> = z.strictObject({
 	target: z.enum(faultTargets),
--- a/packages/standins/src/serviceTime.ts
+++ b/packages/standins/src/serviceTime.ts
@@ -2,7 +2,7 @@
  * Distributions of the time that an upstream stand-in takes to process a request.
  */
 import type {Random} from '@filbertwell/utils/random';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Schema of a service time distribution; all times are in milliseconds. */
 export const serviceTimeSchema = z.discriminatedUnion('kind', [
--- a/packages/standins/src/upstreamFaults.ts
+++ b/packages/standins/src/upstreamFaults.ts
@@ -1,7 +1,7 @@
 /**
  * Faults that can be injected into an upstream stand-in over its control port.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const probability = z.number().min(0).max(1);
 
--- a/packages/standins/src/upstreamMain.ts
+++ b/packages/standins/src/upstreamMain.ts
@@ -10,7 +10,7 @@
 import {createRandom} from '@filbertwell/utils/random';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {z} from 'zod';
+import * as z from 'zod';
 import {serviceTimeSchema} from './serviceTime.js';
 import {createUpstreamControl} from './upstreamControl.js';
 import {createUpstreamLedger} from './upstreamLedger.js';
--- a/packages/types/src/member.ts
+++ b/packages/types/src/member.ts
@@ -37,6 +37,8 @@
 	readonly callerAddress: SocketAddress;
 	/** Address that peers connect to: UDP for heartbeats, TCP for JSON-RPC over HTTP. */
 	readonly peerAddress: SocketAddress;
+	/** Whether it accepts compressed heartbeats; absent for members of earlier versions. */
+	readonly acceptsDeflate?: boolean;
 	readonly state: MemberState;
 	readonly health: MemberHealth;
 	/** Version of the configuration in force at the member; 0 before the first configuration. */
--- a/scripts/bundleGateway.mjs
+++ b/scripts/bundleGateway.mjs
@@ -24,6 +24,10 @@
 	target: 'node20',
 	outfile: 'target/gateway.mjs',
 	minifySyntax: true,
+	// The names stay, so that stack traces remain readable.
+	minifyWhitespace: true,
+	// Its CommonJS build, which Node.js would load, can't be reduced to the operators in use.
+	alias: {rxjs: path.resolve('node_modules/rxjs/dist/esm/index.js')},
 	legalComments: 'none',
 	banner: {js: 'import {createRequire as createBundleRequire} from \'node:module\'; const require = createBundleRequire(import.meta.url);'},
 	plugins: [workspaceModules],
