--- a/packages/discovery/src/__tests__/followTable.test.ts
+++ b/packages/discovery/src/__tests__/followTable.test.ts
@@ -111,9 +111,10 @@
 	/** A read of the store that is never answered must not keep an old plan in force while peers have a newer one. */
 	test('reads from a peer that is known to have newer rows, although the store has not failed yet', async () => {
 		let peerVersion = 5;
+		const neverAnswered = new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
 		const waiting: WatchedTable = {
 			readAll: () => okAsync({rows: [{key: 'plan', value: '5'}], version: 5}),
-			readChanges: () => new ResultAsync<VersionedRows | undefined, PlatformError>(new Promise(() => undefined)),
+			readChanges: () => new ResultAsync<VersionedRows | undefined, PlatformError>(neverAnswered),
 		};
 		const {replica} = follow(waiting, async () => ({rows: [{key: 'plan', value: String(peerVersion)}], version: peerVersion}), () => peerVersion > (replica.version() ?? 0));
 		await vi.waitFor(() => {
