Entry: a second copy of an answer on a kept connection

Cause: an upstream that sends an answer once more, late, on a connection that is in use again had its copy taken for the answer to the next request of another caller; a copy on an idle connection stayed for the next request. Both are shown by tests that failed before.

Change: an answer that echoes another request id fails the attempt and closes the connection, and so do bytes on an idle connection. At-most-once requests have always had connections of their own. An upstream that does not echo the id is protected only while its connection is idle.

--- /dev/null
+++ b/packages/entry/src/__tests__/upstreamClient.test.ts
@@ -0,0 +1,102 @@
+/**
+ * A faulty upstream that sends an answer once more on a kept connection.
+ */
+import {once} from 'node:events';
+import {
+	type AddressInfo, createServer, type Server, type Socket,
+} from 'node:net';
+import type {Attempt} from '@filbertwell/routing/attempt';
+import {requestIdHeader} from '@filbertwell/types/headers';
+import type {Endpoint} from '@filbertwell/types/intent';
+import {
+	afterEach, expect, test, vi,
+} from 'vitest';
+import {createUpstreamClient, type UpstreamClient} from '../upstreamClient.js';
+
+const servers: Server[] = [];
+const clients: UpstreamClient[] = [];
+
+afterEach(() => {
+	for (const client of clients.splice(0)) {
+		client.close();
+	}
+
+	for (const server of servers.splice(0)) {
+		server.close();
+	}
+});
+
+const answerTo = (id: string): string => `HTTP/1.1 200 OK\r\n${requestIdHeader}: ${id}\r\nContent-Length: ${id.length}\r\n\r\n${id}`;
+
+/** Starts an upstream that calls `respond` with the number of each request on its connection, and a client. */
+const start = async (respond: (socket: Socket, number: number) => void) => {
+	let connections = 0;
+	const server = createServer(socket => {
+		let number = 0;
+		connections += 1;
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			number += 1;
+			respond(socket, number);
+		});
+	});
+	servers.push(server);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const endpoint: Endpoint = {
+		id: 'upstream-1', host: '127.0.0.1', port, availabilityZone: 'south-a', slots: 4,
+	};
+	const client = createUpstreamClient();
+	clients.push(client);
+	const attempt: Attempt = {
+		number: 1, cause: 'first', remainingMs: 2000, signal: new AbortController().signal, countBytes: () => undefined,
+	};
+	/** Sends a request with an id and returns the body of its answer, or the kind of the failure. */
+	const send = async (id: string): Promise<string> => {
+		const outcome = await client.send(endpoint, attempt, {
+			method: 'GET', path: '/', headers: ['host', 'shop.example', requestIdHeader, id], body: {kind: 'none'}, mayReuseConnection: true,
+		});
+		if (outcome.kind !== 'answered') {
+			return outcome.kind;
+		}
+
+		const {message} = outcome.answer;
+		let text = '';
+		message.on('data', (chunk: Uint8Array) => {
+			text += String.fromCodePoint(...chunk);
+		});
+		message.resume();
+		await once(message, 'end');
+		return text;
+	};
+
+	return {send, connections: () => connections};
+};
+
+test('a second copy of an answer, sent when the connection is in use again, is not taken for the next answer', async () => {
+	const {send} = await start((socket, number) => {
+		socket.write(number === 1 ? answerTo('a') : `${answerTo('a')}${answerTo('b')}`);
+	});
+	expect(await send('a')).toBe('a');
+	expect(await send('b')).toBe('failed');
+});
+
+test('a second copy of an answer, sent while the connection is idle, closes it', async () => {
+	let copies = 0;
+	const {send, connections} = await start((socket, number) => {
+		socket.write(answerTo(number === 1 ? 'a' : 'b'));
+		setImmediate(() => {
+			socket.write(answerTo('a'));
+			copies += 1;
+		});
+	});
+	expect(await send('a')).toBe('a');
+	await vi.waitFor(() => {
+		expect(copies).toBe(1);
+	});
+	await vi.waitFor(async () => {
+		expect(await send('a')).toBe('a');
+		expect(connections()).toBeGreaterThan(1);
+	});
+});
--- a/packages/entry/src/upstreamClient.ts
+++ b/packages/entry/src/upstreamClient.ts
@@ -5,14 +5,20 @@
  * connection: an upstream may close a keep-alive connection while a request is being written to it,
  * and then it is unknown whether the request ran. A failure before a new connection is open proves
  * that nothing was written.
+ *
+ * A faulty upstream may send an answer once more. Its copy is recognised by the request id, which upstreams should echo,
+ * or by arriving while the connection is idle; the connection is then closed.
  */
 import {type Buffer} from 'node:buffer';
 import {
 	Agent, type ClientRequest, type IncomingMessage, request as sendRequest,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import type {Readable} from 'node:stream';
 import type {Attempt, AttemptOutcome, Completion} from '@filbertwell/routing/attempt';
-import {deadlineHeader, loadHeader, upstreamOutcomeHeader} from '@filbertwell/types/headers';
+import {
+	deadlineHeader, loadHeader, requestIdHeader, upstreamOutcomeHeader,
+} from '@filbertwell/types/headers';
 import type {Endpoint} from '@filbertwell/types/intent';
 import type {LoadReport} from '@filbertwell/types/loadReport';
 import {headerBytes} from './headerBytes.js';
@@ -66,6 +72,16 @@
 	return Array.isArray(value) ? value[0] : value;
 };
 
+const headerValueOf = (headers: readonly string[], name: string): string | undefined => {
+	const index = headers.findIndex((value, position) => position % 2 === 0 && value.toLowerCase() === name);
+	return index === -1 ? undefined : headers[index + 1];
+};
+
+/** Closes an idle connection on which bytes arrive, because they belong to no request. */
+function closeOnData(this: Socket) {
+	this.destroy();
+}
+
 const formatError = (endpoint: Endpoint, error: NodeJS.ErrnoException): string => `${endpoint.id}: ${error.code ?? error.message}`;
 
 const writeBody = (outgoing: ClientRequest, body: UpstreamBody, countBytes: Attempt['countBytes']): void => {
@@ -109,6 +125,9 @@
 	const keepAliveAgent = new Agent({
 		keepAlive: true, maxSockets: connectionsPerEndpoint, maxFreeSockets: connectionsPerEndpoint, timeout: idleConnectionTimeoutMs, scheduling: 'lifo',
 	});
+	keepAliveAgent.on('free', (socket: Socket) => {
+		socket.on('data', closeOnData);
+	});
 	const singleUseAgent = new Agent({keepAlive: false});
 	const parseLoadReport = createLoadReportParser();
 
@@ -186,6 +205,7 @@
 
 		signal.addEventListener('abort', onAbort);
 		outgoing.once('socket', socket => {
+			socket.off('data', closeOnData);
 			if (socket.connecting) {
 				socket.once('connect', onConnected);
 			} else {
@@ -196,6 +216,12 @@
 			message = incoming;
 			clearTimeout(connectTimer);
 			countBytes(0, headerBytes(incoming.rawHeaders));
+			const echoedId = firstHeaderValue(incoming, requestIdHeader);
+			if (echoedId !== undefined && echoedId !== headerValueOf(request.headers, requestIdHeader)) {
+				outgoing.destroy(new Error(`it answers request ${echoedId}`));
+				return;
+			}
+
 			resolve(toOutcome(incoming));
 		});
 		outgoing.on('error', (error: NodeJS.ErrnoException) => {
