Planned stop: callers that have just connected are served

Cause: closing the listening socket resets the connections that the operating system has established but the process has not accepted, with the requests that were sent on them, and Server.close of Node.js also closes connections whose first request has arrived but has not been read.

Change: gateway and entry accept until no connection is left before they close the listening socket, and a connection is not closed as idle while its first request is expected, for 400 ms.

--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
+import {setTimeout as delay} from 'node:timers/promises';
 import {entryEvents} from '@filbertwell/logger/events/entryEvents';
 import type {Logger} from '@filbertwell/logger/logger';
 import type {Metrics} from '@filbertwell/metrics/metrics';
@@ -22,6 +23,7 @@
 import {defaultTenant, parseRequest} from './requestParser.js';
 import {createRequestHandler} from './requestHandler.js';
 import {createServiceIndex, type ServiceIndex} from './serviceIndex.js';
+import {stopListening} from './stopListening.js';
 import type {UpstreamClient} from './upstreamClient.js';
 
 /** Listening address and limits of the caller port. */
@@ -69,10 +71,13 @@
 	readonly address: SocketAddress;
 	/** Number of requests whose response is neither complete nor aborted. */
 	readonly inProgress: () => number;
-	/** Stops listening, waits for requests in progress, and resolves when all connections are closed. */
+	/** Accepts the connections that are already established, stops listening, waits for requests in progress, and resolves when all connections are closed. */
 	readonly close: () => Promise<void>;
 };
 
+/** Time in which a caller that has just connected sends its first request. */
+const firstRequestMs = 400;
+
 const clientErrorStatuses: ReadonlyMap<string | undefined, number> = new Map([
 	['HPE_HEADER_OVERFLOW', 431],
 	['ERR_HTTP_REQUEST_TIMEOUT', 408],
@@ -207,7 +212,9 @@
 		async close() {
 			isClosing = true;
 			const closed = once(server, 'close');
-			server.close();
+			await stopListening(server);
+			await delay(firstRequestMs);
+			server.closeIdleConnections();
 			await closed;
 		},
 	};
--- a/packages/gateway/src/__tests__/callerConnection.test.ts
+++ b/packages/gateway/src/__tests__/callerConnection.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect} from 'node:net';
+import process from 'node:process';
 import {
 	afterEach, describe, expect, test, vi,
 } from 'vitest';
@@ -55,12 +56,32 @@
 		expect(text).toContain('for b');
 	});
 
+	test('that was established just before a planned stop is served, although it had not been accepted', async () => {
+		const {gateway} = await startGateway([respondOk]);
+		const responses = Array.from({length: 30}, async () => call(gateway.port));
+		// The operating system establishes the connections in this turn; the server accepts them in a later one.
+		await new Promise(resolve => {
+			process.nextTick(resolve);
+		});
+		const stopped = gateway.server.stopListening();
+		gateway.server.closeIdle();
+		await stopped;
+		gateway.server.closeIdle();
+		const received = await Promise.all(responses);
+		expect(received.map(({status}) => status)).toEqual(Array.from({length: 30}, () => 200));
+		const later = await call(gateway.port);
+		expect(later.status).toBe(0);
+	});
+
 	test('does not forward a request that arrives while its idle connection is closing', async () => {
 		const {gateway, endpoints} = await startGateway([respondOk]);
 		const socket = connect({port: gateway.port, host: '127.0.0.1', allowHalfOpen: true});
 		socket.on('error', () => undefined);
 		socket.resume();
 		await call(gateway.port);
+		await vi.waitFor(() => {
+			expect(gateway.server.isRequestExpected()).toBe(false);
+		});
 		gateway.server.closeIdle();
 		await once(socket, 'end');
 		socket.write('PUT /late HTTP/1.1\r\nHost: shop.example\r\nX-Id: late\r\n\r\n');
--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -195,7 +195,7 @@
 		port,
 		logged,
 		close() {
-			server.stopListening();
+			void server.stopListening();
 			server.closeIdle();
 			connectionPool.close();
 			for (const endpoint of endpoints) {
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -2,6 +2,7 @@
  * Tracks the open requests on each caller connection and closes connections that are idle.
  */
 import type {Socket} from 'node:net';
+import type {Clock} from '@filbertwell/utils/clock';
 
 /** A request on a caller connection that has not been answered yet. */
 export type OpenRequest = {
@@ -22,26 +23,39 @@
 	readonly beginRequest: (socket: Socket) => OpenRequest | undefined;
 	readonly openRequestCount: () => number;
 	readonly hasOpenRequest: (socket: Socket) => boolean;
-	/** Closes all connections without an open request. */
+	/** Whether a caller has just connected whose first request is still expected. */
+	readonly isRequestExpected: () => boolean;
+	/** Closes all connections without an open request, except those whose first request is still expected. */
 	readonly closeIdle: () => void;
 };
 
+/** Requests of one connection. */
+type ConnectionState = {
+	readonly requests: Set<AbortController>;
+	/** Time until which the first request is expected, in monotonic milliseconds; 0 after it has arrived. */
+	expectedUntilMs: number;
+};
+
+/** Callers connect to send a request, which arrives within a round trip unless it was lost. */
+const firstRequestMs = 400;
+
 /**
  * Creates a tracker without connections.
  *
+ * @param clock - Monotonic clock in milliseconds.
  * @returns The tracker; every accepted socket must be added to it.
  */
-export const createCallerConnections = (): CallerConnections => {
-	const requestsBySocket = new Map<Socket, Set<AbortController>>();
+export const createCallerConnections = (clock: Clock): CallerConnections => {
+	const connections = new Map<Socket, ConnectionState>();
 	const closingSockets = new WeakSet<Socket>();
 	let openRequestCount = 0;
 
 	return {
 		add(socket) {
 			const requests = new Set<AbortController>();
-			requestsBySocket.set(socket, requests);
+			connections.set(socket, {requests, expectedUntilMs: clock() + firstRequestMs});
 			socket.once('close', () => {
-				requestsBySocket.delete(socket);
+				connections.delete(socket);
 				for (const controller of requests) {
 					controller.abort();
 				}
@@ -53,9 +67,12 @@
 			}
 
 			const controller = new AbortController();
-			const requests = requestsBySocket.get(socket);
-			if (requests === undefined) {
+			const connection = connections.get(socket);
+			const requests = connection?.requests;
+			if (connection === undefined) {
 				controller.abort();
+			} else {
+				connection.expectedUntilMs = 0;
 			}
 
 			requests?.add(controller);
@@ -77,10 +94,11 @@
 			};
 		},
 		openRequestCount: () => openRequestCount,
-		hasOpenRequest: socket => (requestsBySocket.get(socket)?.size ?? 0) > 0,
+		hasOpenRequest: socket => (connections.get(socket)?.requests.size ?? 0) > 0,
+		isRequestExpected: () => [...connections.values()].some(({expectedUntilMs}) => expectedUntilMs > clock()),
 		closeIdle() {
-			for (const [socket, requests] of requestsBySocket) {
-				if (requests.size === 0) {
+			for (const [socket, {requests, expectedUntilMs}] of connections) {
+				if (requests.size === 0 && expectedUntilMs <= clock()) {
 					closingSockets.add(socket);
 					socket.end();
 				}
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -10,6 +10,7 @@
 import {createServiceSplit} from '@filbertwell/dispatch/serviceSplit';
 import {headerBytes} from '@filbertwell/entry/headerBytes';
 import {endToEndHeaders} from '@filbertwell/entry/hopByHopHeaders';
+import {stopListening} from '@filbertwell/entry/stopListening';
 import {gatewayEvents} from '@filbertwell/logger/events/gatewayEvents';
 import type {Logger} from '@filbertwell/logger/logger';
 import type {SocketAddress} from '@filbertwell/types/place';
@@ -47,9 +48,11 @@
 /** Handle of a listening server. */
 export type CallerServer = {
 	readonly openRequestCount: () => number;
-	/** Stops accepting connections and closes the idle ones. */
-	readonly stopListening: () => void;
-	/** Closes connections without an open request. */
+	/** Whether a caller has just connected whose first request is still expected. */
+	readonly isRequestExpected: () => boolean;
+	/** Accepts the connections that are already established, then stops listening. */
+	readonly stopListening: () => Promise<void>;
+	/** Closes connections without an open or an expected request. */
 	readonly closeIdle: () => void;
 };
 
@@ -68,7 +71,7 @@
  */
 export const startCallerServer = async (options: CallerServerOptions): Promise<CallerServer> => {
 	const {address, clock, headers, plan, planAgeMs, isPlanOutdated, forward, isShuttingDown, onRequestEnded, log} = options;
-	const connections = createCallerConnections();
+	const connections = createCallerConnections(clock);
 	const chooseService = createServiceSplit();
 	const omittedRequestHeaders = new Set([headers.deadline, headers.expectedEndpoint, 'content-length']);
 	const omittedResponseHeaders = new Set([headers.load, 'content-length']);
@@ -214,9 +217,8 @@
 
 	return {
 		openRequestCount: connections.openRequestCount,
-		stopListening() {
-			server.close();
-		},
+		isRequestExpected: connections.isRequestExpected,
+		stopListening: async () => stopListening(server),
 		closeIdle: connections.closeIdle,
 	};
 };
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -216,8 +216,8 @@
 	const drainRequests = async () => {
 		const startedAtMs = clock();
 		await waitUnlessAborted(Math.min(listenAfterStopMs, bounds().graceMs / 2), signal);
-		callerServer.stopListening();
-		while (callerServer.openRequestCount() > 0 && clock() - startedAtMs < bounds().graceMs - graceMarginMs) {
+		await callerServer.stopListening();
+		while ((callerServer.openRequestCount() > 0 || callerServer.isRequestExpected()) && clock() - startedAtMs < bounds().graceMs - graceMarginMs) {
 			callerServer.closeIdle();
 			await waitUnlessAborted(shutdownPollMs, signal); // eslint-disable-line no-await-in-loop
 		}
