--- a/packages/entry/src/__tests__/upstreamClient.test.ts
+++ b/packages/entry/src/__tests__/upstreamClient.test.ts
@@ -1,5 +1,5 @@
 /**
- * A faulty upstream that sends an answer once more on a kept connection.
+ * A faulty upstream that sends an answer once more on a kept connection, or bytes without end.
  */
 import {once} from 'node:events';
 import {
@@ -9,7 +9,7 @@
 import {requestIdHeader} from '@filbertwell/types/headers';
 import type {Endpoint} from '@filbertwell/types/intent';
 import {
-	afterEach, expect, test, vi,
+	afterEach, describe, expect, test, vi,
 } from 'vitest';
 import {createUpstreamClient, type UpstreamClient} from '../upstreamClient.js';
 
@@ -29,11 +29,15 @@
 const answerTo = (id: string): string => `HTTP/1.1 200 OK\r\n${requestIdHeader}: ${id}\r\nContent-Length: ${id.length}\r\n\r\n${id}`;
 
 /** Starts an upstream that calls `respond` with the number of each request on its connection, and a client. */
-const start = async (respond: (socket: Socket, number: number) => void) => {
+const start = async (respond: (socket: Socket, number: number) => void, timeoutMs = 10_000) => {
 	let connections = 0;
+	let closedConnections = 0;
 	const server = createServer(socket => {
 		let number = 0;
 		connections += 1;
+		socket.once('close', () => {
+			closedConnections += 1;
+		});
 		socket.on('error', () => undefined);
 		socket.on('data', () => {
 			number += 1;
@@ -50,7 +54,7 @@
 	const client = createUpstreamClient();
 	clients.push(client);
 	const attempt: Attempt = {
-		number: 1, cause: 'first', remainingMs: 2000, signal: new AbortController().signal, countBytes: () => undefined,
+		number: 1, cause: 'first', remainingMs: timeoutMs, signal: AbortSignal.timeout(timeoutMs), countBytes: () => undefined,
 	};
 	/** Sends a request with an id and returns the body of its answer, or the kind of the failure. */
 	const send = async (id: string): Promise<string> => {
@@ -71,7 +75,7 @@
 		return text;
 	};
 
-	return {send, connections: () => connections};
+	return {send, connections: () => connections, closedConnections: () => closedConnections};
 };
 
 test('a second copy of an answer, sent when the connection is in use again, is not taken for the next answer', async () => {
@@ -100,3 +104,30 @@
 		expect(connections()).toBeGreaterThan(1);
 	});
 });
+
+describe('bytes without end', () => {
+	const endlessly = (beginning: string, piece: string) => (socket: Socket) => {
+		const write = () => {
+			while (!socket.destroyed && socket.write(piece)) {
+				// Writes until the buffer is full.
+			}
+		};
+
+		socket.on('drain', write);
+		socket.write(beginning);
+		write();
+	};
+
+	test.each([
+		['that are no answer', '', 'x'.repeat(1000), 'failed'],
+		['in one header', 'HTTP/1.1 200 OK\r\nX-More: ', 'x'.repeat(1000), 'failed'],
+		['in many headers', 'HTTP/1.1 200 OK\r\n', `X-More: ${'x'.repeat(500)}\r\n`, 'failed'],
+		['in interim answers', '', 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n', 'cancelled'],
+	])('%s end the attempt as one that may have run, and the connection is closed', async (_, beginning, piece, kind) => {
+		const {send, closedConnections} = await start(endlessly(beginning, piece), 500);
+		expect(await send('a')).toBe(kind);
+		await vi.waitFor(() => {
+			expect(closedConnections()).toBe(1);
+		});
+	});
+});
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -196,6 +196,8 @@
 	}
 
 	metrics.observeGauge('store_calls', 'Calls to the store since the start', adapter.storeCallCount);
+	metrics.observeGauge('peer_datagram_bytes', 'Bytes of heartbeats in both directions since the start, with headers', () => channel.traffic().datagramBytesIn + channel.traffic().datagramBytesOut);
+	metrics.observeGauge('peer_rpc_bytes', 'Bytes of calls between peers in both directions since the start', () => channel.traffic().rpcBytesIn + channel.traffic().rpcBytesOut);
 	metrics.observeGauge('requests_open', 'Requests of callers that are not yet answered', callerServer.openRequestCount);
 	const everyInterval = (intervalMs: number, task: () => void) => {
 		void runPeriodically({
