--- a/packages/dispatch/src/completionEstimate.ts
+++ b/packages/dispatch/src/completionEstimate.ts
@@ -23,7 +23,7 @@
 
 /** Expected times and cost of a request at an endpoint, in milliseconds. */
 export type CompletionEstimate = {
-	/** Number of requests that the endpoint is expected to have, the usual ones included if they count. */
+	/** Number of requests that the endpoint is expected to have, the usual ones included if they count. Decides whether it accepts keys of other endpoints. */
 	readonly usualLoad: number;
 	/** Expected wait in the queue of the endpoint. */
 	readonly waitMs: number;
--- a/packages/dispatch/src/trackedEndpoint.ts
+++ b/packages/dispatch/src/trackedEndpoint.ts
@@ -44,7 +44,10 @@
 	readonly warmSinceMs: () => number;
 	/** Estimated number of running and waiting requests from all instances. It falls to those of this instance without reports. */
 	readonly load: () => number;
-	/** Like `load`, but without reports it returns to the usual load of the endpoint. It is a reason to prefer another endpoint, not to refuse a request. */
+	/**
+	 * Like `load`, but without reports it returns to the usual load of the endpoint. It is a reason to prefer another
+	 * endpoint, but the endpoint of a key that may be free is not refused for it.
+	 */
 	readonly usualLoad: () => number;
 	/** Processing time relative to the usual one: 2 means twice as long. */
 	readonly slowdown: () => number;
