Gateway: a kept connection to an endpoint gathers no listeners

Cause: the detection of resets added a listener for each request to the socket of a kept connection and never removed it. After 11 requests Node.js warned of a leak; each further request took more memory.

Change: the listener is added once, when the connection has been opened.

--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -5,6 +5,7 @@
 import {connect, type Socket} from 'node:net';
 import type {AgentOptions, ClientRequest} from 'node:http';
 import type {Clock} from '@filbertwell/utils/clock';
+import {detectReset} from './resetConnection.js';
 
 /** Id of an endpoint and the address it listens on. */
 export type EndpointAddress = {
@@ -131,6 +132,7 @@
 		socket.once('connect', () => {
 			clearTimeout(timer);
 			socket.removeListener('error', onError);
+			detectReset(socket);
 			// Later errors are reported by the request or by the listeners for idle connections.
 			socket.on('error', () => undefined);
 			resolve({socket, connectMs: clock() - startedAtMs});
--- a/packages/gateway/src/endpointExchange.ts
+++ b/packages/gateway/src/endpointExchange.ts
@@ -6,7 +6,6 @@
 import type {SendOptions, SendOutcome} from './endpointClient.js';
 import {createSingleSocketAgent} from './endpointConnectionPool.js';
 import type {GatewayHeaders} from './gatewayHeaders.js';
-import {detectReset} from './resetConnection.js';
 import type {ReadResponseBody} from './responseBody.js';
 import {keepAliveMsOf, type ResponseClassifier} from './responseClassifier.js';
 
@@ -100,7 +99,6 @@
 		}
 	});
 	signal.addEventListener('abort', onAbort);
-	detectReset(socket);
 	const start = () => {
 		const outgoing = sendRequest({
 			host: endpoint.host,
--- a/packages/gateway/src/resetConnection.ts
+++ b/packages/gateway/src/resetConnection.ts
@@ -19,7 +19,7 @@
 
 /**
  * Detects a reset that Node.js reports as the normal end of a connection; it does so if the reset arrives together with
- * data. Writing nothing fails on a connection that was reset. Must be called before other listeners end the connection.
+ * data. Writing nothing fails on a connection that was reset. Must be called once, before other listeners end the connection.
  *
  * @param socket - Connection that allows half-open use; its property `errored` is set when `end` is emitted after a reset.
  */
