Discovery: after a restart the first rows are read at once

Cause: when 64 instances lost power and returned together, followers waited for readers that had restarted as well, with backoff. Before the platform knows who the members are, instances also disagree on the readers.

Change: only the first start of a deployment waits for the list of instances and for the readers. After a restart the store is read at once, and a reader that is asked later has 400 ms to answer.

--- a/packages/discovery/src/__tests__/sharedTable.test.ts
+++ b/packages/discovery/src/__tests__/sharedTable.test.ts
@@ -86,11 +86,12 @@
 
 const otherReader = {id: 'reader-2', peerAddress: {host: '127.0.0.1', port: 2}};
 
-const createFollower = ({answer, allRows = () => ok({reading: undefined, ageMs: 0}), storeReading, isReader = false}: {
+const createFollower = ({answer, allRows = () => ok({reading: undefined, ageMs: 0}), storeReading, isReader = false, isFirstStart = true}: {
 	readonly answer: (reader: TableReader) => Result<SharedChanges, string>;
-	readonly allRows?: (reader: TableReader) => Result<SharedChanges, string>;
+	readonly allRows?: (reader: TableReader) => Result<SharedChanges, string> | Promise<Result<SharedChanges, string>>;
 	readonly storeReading?: () => VersionedRows;
 	readonly isReader?: boolean;
+	readonly isFirstStart?: boolean;
 }) => {
 	const avoided = new Set<string>();
 	let storeReads = 0;
@@ -113,6 +114,7 @@
 		readAllFromReader: async asked => allRows(asked),
 		clock,
 		times: () => times,
+		isFirstStart,
 	});
 	return {table, avoided, storeReads: () => storeReads};
 };
@@ -186,6 +188,31 @@
 		expect(await readFirst(table)).toEqual(storeRows);
 	});
 
+	/** All instances lost power and return together, and callers are waiting. */
+	describe.each([
+		['has just restarted as well', () => ok({reading: undefined, ageMs: 0})],
+		['does not answer', async () => new Promise<never>(() => {
+			// Never settles.
+		})],
+		['refuses the connection', () => err('ECONNREFUSED')],
+	] satisfies ReadonlyArray<readonly [string, () => Result<SharedChanges, string> | Promise<Result<SharedChanges, string>>]>)('after a restart, if its reader %s', (_, allRows) => {
+		test('come from the store within half a second', async () => {
+			const {table, storeReads} = createFollower({
+				answer: () => err('not asked'), allRows, storeReading: () => storeRows, isFirstStart: false,
+			});
+			const rows = readFirst(table);
+			await vi.advanceTimersByTimeAsync(500);
+			expect(storeReads()).toBe(1);
+			expect(await rows).toEqual(storeRows);
+		});
+	});
+
+	test('after a restart come from a reader that has rows', async () => {
+		const {table, storeReads} = createFollower({answer: () => err('not asked'), allRows: () => ok({reading: sharedRows, ageMs: 40}), isFirstStart: false});
+		expect(await readFirst(table)).toEqual({...sharedRows, ageMs: 40});
+		expect(storeReads()).toBe(0);
+	});
+
 	/** All instances of a large deployment start together; without patience each of them would read the whole table. */
 	test('are awaited from readers that have just started, but not for long', async () => {
 		const {table, storeReads} = createFollower({answer: () => err('not asked'), storeReading: () => storeRows});
--- a/packages/discovery/src/sharedTable.ts
+++ b/packages/discovery/src/sharedTable.ts
@@ -8,7 +8,9 @@
 import {
 	err, ok, ResultAsync, type Result,
 } from 'neverthrow';
-import {firstValueFrom, merge, timer} from 'rxjs';
+import {
+	firstValueFrom, map, merge, race, timer,
+} from 'rxjs';
 import type {RowReplica} from './rowReplica.js';
 import type {ReadTimes} from './readTimes.js';
 import type {TableReader, TableReaders} from './tableReaders.js';
@@ -35,14 +37,21 @@
 	readonly readAllFromReader: ReadAllFromReader;
 	readonly clock: Clock;
 	readonly times: () => ReadTimes;
+	/**
+	 * Whether all instances of the deployment start for the first time. There are no callers yet, so followers wait for
+	 * the rows of the readers. After a restart callers are waiting, so they don't.
+	 */
+	readonly isFirstStart: boolean;
 };
 
 /** Longest wait of one read from a reader; well below the 2 s timeout of calls between peers. */
 const readerWaitMs = 1000;
 /** Number of readers that are asked in one read before the store is read. */
 const readersPerRead = 2;
-/** Time after the start in which an instance waits for a reader that has rows. When all instances start together, the readers must read the store first. */
+/** Time after the first start of a deployment in which an instance waits for a reader that has rows. */
 const firstRowsPatienceMs = 4000;
+/** Time for the first rows of a reader after a restart: a connection and a call to another region. */
+const restartAnswerMs = 400;
 /** Exponential backoff between failed reads of the store by a follower whose readers are not usable either. */
 const initialStorePauseMs = 500;
 const maximumStorePauseMs = 4000;
@@ -80,7 +89,8 @@
  * @param options - Table of the store, selection of the readers and access to them.
  * @returns The table.
  */
-export const createSharedTable = ({store, readers, readFromReader, readAllFromReader, clock, times}: SharedTableOptions): WatchedTable => {
+export const createSharedTable = (options: SharedTableOptions): WatchedTable => {
+	const {store, readers, readFromReader, readAllFromReader, clock, times, isFirstStart} = options;
 	const createdAtMs = clock();
 	let storePauseMs = initialStorePauseMs;
 	let nextStoreReadAtMs = 0;
@@ -130,14 +140,18 @@
 		return readStoreInstead(() => store.readChanges(afterVersion, 0), reason);
 	};
 
+	const readAllOf = async (reader: TableReader): Promise<Result<SharedChanges, string>> => isFirstStart
+		? readAllFromReader(reader)
+		: firstValueFrom(race(readAllFromReader(reader), timer(restartAnswerMs).pipe(map(() => err(`no answer within ${restartAnswerMs} ms`)))));
+
 	const readAll = async (): Promise<Result<VersionedRows, PlatformError>> => {
 		if (readers.isReader()) {
 			return store.readAll();
 		}
 
 		let hasStartingReader = false;
-		for (const reader of readers.readersToFollow().slice(0, readersPerRead)) {
-			const shared = await readAllFromReader(reader); // eslint-disable-line no-await-in-loop
+		for (const reader of readers.readersToFollow().slice(0, isFirstStart ? readersPerRead : 1)) {
+			const shared = await readAllOf(reader); // eslint-disable-line no-await-in-loop
 			if (shared.isOk() && shared.value.reading !== undefined && shared.value.ageMs <= times().staleAfterMs) {
 				return ok({...shared.value.reading, ageMs: shared.value.ageMs});
 			}
@@ -149,7 +163,7 @@
 			hasStartingReader ||= shared.isOk() && shared.value.reading === undefined;
 		}
 
-		return hasStartingReader && clock() - createdAtMs < firstRowsPatienceMs
+		return isFirstStart && hasStartingReader && clock() - createdAtMs < firstRowsPatienceMs
 			? unavailable('no reader has rows yet')
 			: readStoreInstead(() => store.readAll(), 'no reader has current rows');
 	};
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -82,6 +82,7 @@
 	const {process: self, listen, peers} = settings();
 	const bounds = () => deploymentBounds(settings());
 	const recentRequests = createSlidingWindowCounter(clock, requestRateWindowMs);
+	const isFirstStart = settings().process.bootstrap === 'true';
 	let isShuttingDown = false;
 
 	const channel = await createPeerChannel({address: peers, log: createLogger('peers')});
@@ -99,7 +100,7 @@
 		suspectAfterMs,
 		listIntervalMs,
 		listIntervalPerMemberMs,
-		firstListDelayMs: settings().process.bootstrap === 'true' ? bootstrapListDelayMs : 0,
+		firstListDelayMs: isFirstStart ? bootstrapListDelayMs : 0,
 		removeAfterMs,
 	});
 	const registration = startRegistration({
@@ -137,7 +138,7 @@
 	};
 
 	const trafficState = followTraffic({
-		adapter, membership, channel, clock, random, signal, bounds, regionOfZone: () => settings().process.zones, onChange: applyTrafficState,
+		adapter, membership, channel, clock, random, signal, bounds, regionOfZone: () => settings().process.zones, isFirstStart, onChange: applyTrafficState,
 	});
 	const connectionPool = createEndpointConnectionPool(clock);
 	const retryBudgets = new Map<string, RetryBudget>();
--- a/packages/gateway/src/trafficState.ts
+++ b/packages/gateway/src/trafficState.ts
@@ -49,6 +49,8 @@
 	/** Bounds of the deployment. */
 	readonly bounds: () => UpdateBounds;
 	readonly regionOfZone: () => ReadonlyMap<AvailabilityZoneName, RegionName>;
+	/** Whether all instances of the deployment start for the first time. */
+	readonly isFirstStart: boolean;
 	/** Called after each change of the state. */
 	readonly onChange: () => void;
 };
@@ -68,13 +70,13 @@
  * @param options - Platform, peers and change callback.
  * @returns The state; empty until the first successful read.
  */
-export const followTraffic = ({adapter, membership, channel, clock, random, signal, bounds, regionOfZone, onChange}: TrafficStateOptions): TrafficState => {
+export const followTraffic = ({adapter, membership, channel, clock, random, signal, bounds, regionOfZone, isFirstStart, onChange}: TrafficStateOptions): TrafficState => {
 	let listed: readonly ListedInstance[] = [];
 	membership.listed.subscribe(instances => {
 		listed = instances;
 	});
 	// Shows how large the deployment is, and with it who reads the store.
-	const firstListing = firstValueFrom(race(membership.listed, timer(listTimeoutMs)));
+	const firstListing = isFirstStart ? firstValueFrom(race(membership.listed, timer(listTimeoutMs))) : undefined;
 	const times = () => readTimesOf(bounds());
 	const log = createLogger('discovery');
 	const planFollower = createPlanFollower(adapter.decodeOperatorRow, log);
@@ -133,7 +135,7 @@
 	};
 
 	const sharedTable = (table: TableName, store: WatchedTable): WatchedTable => createSharedTable({
-		store, readers, readFromReader: readChangesFromReader(table), readAllFromReader: async ({peerAddress}) => readRowsFrom(peerAddress, table, -1), clock, times,
+		store, readers, readFromReader: readChangesFromReader(table), readAllFromReader: async ({peerAddress}) => readRowsFrom(peerAddress, table, -1), clock, times, isFirstStart,
 	});
 	const commonOptions = {
 		random, log, signal, waitMs: readers.storeWaitMs,
@@ -166,6 +168,7 @@
 	});
 
 	const follow = async () => {
+		// After a restart callers are waiting for the plan, so the store is read at once.
 		await firstListing;
 		await Promise.all([followOperators(), followRegistrations()]);
 	};
