Gateway: a timeout while a connection is being opened means not run

Cause: the timeout of a route answered 504, the request may have run, although nothing had been written. An at-most-once request could then not be repeated by its caller.

Change: until the request is written, the timeout answers 503 with Retry-After.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -56,6 +56,8 @@
 	readonly signal: AbortSignal;
 	/** Called with the connect time if a new connection was opened. */
 	readonly onConnected: (connectMs: number) => void;
+	/** Called before the request is written. Until then it can't have run. */
+	readonly onWrite: () => void;
 };
 
 /** HTTP client for endpoints. */
@@ -77,7 +79,7 @@
 
 	return {
 		async send(options) {
-			const {endpoint, request, signal, connectTimeoutMs, onConnected} = options;
+			const {endpoint, request, signal, connectTimeoutMs, onConnected, onWrite} = options;
 			// Without an id, a late response to an earlier request can't be told from the response to this one.
 			const acquired = await (request.requestId === undefined ? pool.open(endpoint, connectTimeoutMs) : pool.acquire(endpoint, connectTimeoutMs));
 			if ('kind' in acquired) {
@@ -95,6 +97,7 @@
 				return {kind: 'cancelled', isSent: false};
 			}
 
+			onWrite();
 			return exchangeOnSocket(acquired.socket, options, {
 				headers,
 				classifier,
--- a/packages/gateway/src/forwardRequest.ts
+++ b/packages/gateway/src/forwardRequest.ts
@@ -58,6 +58,14 @@
 /** Forwards a request; never rejects. */
 export type ForwardRequest = (request: ForwardedRequest) => Promise<ForwardResult>;
 
+/** Limits of one send. */
+type SendLimits = {
+	/** Time by which the response is needed, in monotonic milliseconds. */
+	readonly deadlineAtMs: number;
+	/** Ends the send when it is aborted. */
+	readonly signal: AbortSignal;
+};
+
 /** Connect timeout: several times the longest round trip, and shorter than the retransmission of a lost packet. */
 const connectTimeoutMs = 450;
 /** Unreachable endpoints don't count as attempts. After more than this many of them, no further endpoint is tried. */
@@ -95,7 +103,7 @@
 		return {kind: 'own', response: {status: 503, problem: `${reason}; the request did not run`, retryAfterSeconds: retryAfter}};
 	};
 
-	const sendOnce = async (forwarded: ForwardedRequest, lease: EndpointLease, deadlineAtMs: number, signal: AbortSignal): Promise<SendOutcome> => {
+	const sendOnce = async (forwarded: ForwardedRequest, progress: SendProgress, lease: EndpointLease, {deadlineAtMs, signal}: SendLimits): Promise<SendOutcome> => {
 		const {endpoint} = lease;
 		const remainingMs = deadlineAtMs - clock();
 		const outcome = await client.send({
@@ -107,6 +115,9 @@
 			onConnected(connectMs) {
 				dispatcher.recordConnectTime(endpoint.availabilityZone, connectMs);
 			},
+			onWrite() {
+				progress.isWritten = true;
+			},
 		});
 		lease.end(leaseResultOf(outcome, !forwarded.callerDisconnected.aborted));
 		const load = outcome.kind === 'answered' ? outcome.response.load : (outcome.kind === 'not-run' ? outcome.load : undefined);
@@ -180,7 +191,7 @@
 				return finalResult(forwarded, progress, lastOutcome!, lifetime);
 			}
 
-			lastOutcome = await sendOnce(forwarded, acquired, deadlineAtMs, lifetime.signal); // eslint-disable-line no-await-in-loop
+			lastOutcome = await sendOnce(forwarded, progress, acquired, {deadlineAtMs, signal: lifetime.signal}); // eslint-disable-line no-await-in-loop
 			recordOutcome(progress, acquired.endpoint.id, lastOutcome);
 			if (!isRetryable(route.kind, lastOutcome)) {
 				return lifetime.signal.aborted ? {kind: 'gone'} : finalResult(forwarded, progress, lastOutcome, lifetime);
@@ -199,6 +210,10 @@
 	};
 
 	const timeoutResult = (forwarded: ForwardedRequest, progress: SendProgress): ForwardResult => {
+		if (!progress.isWritten && !progress.mayHaveRun) {
+			return failureResult(forwarded, progress, 'no connection in time', 0);
+		}
+
 		log(gatewayEvents.requestFailed, {
 			request: forwarded.request.requestId, route: forwarded.route.name, service: forwarded.service, reason: 'no answer in time', sends: progress.sendCount, tookMs: Math.round(clock() - forwarded.arrivedAtMs),
 		});
--- a/packages/gateway/src/sendProgress.ts
+++ b/packages/gateway/src/sendProgress.ts
@@ -12,6 +12,9 @@
 	sendCount: number;
 	/** Sends for which no connection could be opened. */
 	unreachableCount: number;
+	/** Whether the request has been written to an endpoint whose response is outstanding. */
+	isWritten: boolean;
+	/** Whether a send that has ended may have run the request. */
 	mayHaveRun: boolean;
 	lastProblem: string;
 };
@@ -22,7 +25,7 @@
  * @returns The state; `recordOutcome` updates it.
  */
 export const createSendProgress = (): SendProgress => ({
-	triedEndpointIds: new Set(), sendCount: 0, unreachableCount: 0, mayHaveRun: false, lastProblem: '',
+	triedEndpointIds: new Set(), sendCount: 0, unreachableCount: 0, isWritten: false, mayHaveRun: false, lastProblem: '',
 });
 
 /**
@@ -34,6 +37,7 @@
  */
 export const recordOutcome = (progress: SendProgress, endpointId: string, outcome: SendOutcome): void => {
 	progress.triedEndpointIds.add(endpointId);
+	progress.isWritten = false;
 	if (outcome.kind === 'not-run' && outcome.cause === 'unreachable') {
 		progress.unreachableCount += 1;
 	} else {
