Clock: counts the time in which the machine was suspended

Cause: the steady clock stands still while a machine is suspended.

Change: if the wall clock has jumped ahead of the steady clock by as much as the time since boot has, the clock moves ahead as well. Adjustments of the wall clock alone have no effect.

--- a/packages/utils/src/clock.ts
+++ b/packages/utils/src/clock.ts
@@ -1,13 +1,30 @@
 /**
- * Monotonic clocks. No decision depends on the wall clock.
+ * Monotonic clocks. No decision depends on adjustments of the wall clock.
  */
+import {uptime} from 'node:os';
 import {performance} from 'node:perf_hooks';
+import {createSuspendAwareClock} from './suspendAwareClock.js';
 
 /** Returns monotonic milliseconds since an arbitrary origin. */
 export type Clock = () => number;
 
-/** The process's monotonic clock, in milliseconds. */
-export const monotonicClock: Clock = () => performance.now();
+const millisecondsPerSecond = 1000;
+
+/** Milliseconds since the boot; NaN where the operating system doesn't tell, which counts as no suspension. */
+const sinceBoot: Clock = () => {
+	try {
+		return uptime() * millisecondsPerSecond;
+	} catch {
+		return Number.NaN;
+	}
+};
+
+/** The process's monotonic clock, in milliseconds; it also counts the time in which the machine was suspended. */
+export const monotonicClock: Clock = createSuspendAwareClock({
+	steady: () => performance.now(),
+	wall: Date.now,
+	sinceBoot,
+});
 
 /** Clock that tests advance explicitly. */
 export type ManualClock = {
