Orders: damaged rows and kept answers

Cause: a row or a kept answer that is not what this package wrote made submit reject, kept the attempt in the list of those in progress, and ended each later clean-up pass without a log line.

Change: such a row is in doubt and is neither run nor removed; clean-up logs it and goes on. Also: an entry that was suspended between claim and dispatch does not dispatch.

--- a/packages/logger/src/events/ordersEvents.ts
+++ b/packages/logger/src/events/ordersEvents.ts
@@ -47,4 +47,16 @@
 		level: 'info',
 		meaning: 'Rows of at-most-once requests that had passed their retention period were removed.',
 	},
+	rowDamaged: {
+		number: 7008,
+		name: 'row-damaged',
+		level: 'error',
+		meaning: 'The row of an at-most-once request can not be read. Its request is in doubt and is not run again. Find out what wrote the row, and remove it when the request has been settled.',
+	},
+	cleanupFailed: {
+		number: 7009,
+		name: 'cleanup-failed',
+		level: 'warn',
+		meaning: 'A pass that removes rows of at-most-once requests past their retention failed. The next pass repeats it.',
+	},
 });
--- a/packages/orders/src/__tests__/createOrders.test.ts
+++ b/packages/orders/src/__tests__/createOrders.test.ts
@@ -3,9 +3,11 @@
 import {createMemoryPlatform, type MemoryPlatform} from '@filbertwell/platform/memoryPlatform';
 import {monotonicClock} from '@filbertwell/utils/clock';
 import {createRandom} from '@filbertwell/utils/random';
-import {expect, test} from 'vitest';
+import {createSuspendAwareClock} from '@filbertwell/utils/suspendAwareClock';
+import {expect, test, vi} from 'vitest';
 import {createOrders, type OrdersOptions} from '../createOrders.js';
 import type {OrderLimits} from '../orderLimits.js';
+import {orderRowKey} from '../orderRow.js';
 import type {
 	DispatchOutcome, KeptAnswer, Order, OrderOutcome,
 } from '../orders.js';
@@ -124,6 +126,54 @@
 	expect(upstream.runs()).toBe(0);
 });
 
+test('an entry whose machine was suspended between claim and dispatch does not dispatch, although its steady clock stood still', async () => {
+	const platform = createMemoryPlatform();
+	const upstream = createUpstream();
+	let suspendedMs = 0;
+	const steady = () => performance.now();
+	const suspended = createEntry(platform, {
+		clock: createSuspendAwareClock({steady, wall: () => steady() + suspendedMs, sinceBoot: () => steady() + suspendedMs}),
+		table: {
+			...platform.table,
+			transact: writes => platform.table.transact(writes).map(result => {
+				suspendedMs = 9000;
+				return result;
+			}),
+		},
+	});
+	expect(await suspended.submit(order(upstream.dispatch, {remainingMs: 60_000}))).toMatchObject({kind: 'not-run'});
+	expect(upstream.runs()).toBe(0);
+});
+
+test.each([
+	'not JSON', '{"state":"done"}', '{"state":"claimed","token":5}', 'null', '{"state":"unknown","token":"t","fingerprint":"f","attempt":1,"claimedAt":0}',
+])('a request whose row is damaged (%s) stays in doubt and is not run', async value => {
+	const platform = createMemoryPlatform();
+	const upstream = createUpstream();
+	const rowKey = orderRowKey('orders', 't', 'k');
+	platform.state.transact({checks: [], writes: [{key: rowKey, value}]});
+	const a = createEntry(platform);
+	expect(await a.submit(order(upstream.dispatch))).toMatchObject({kind: 'in-doubt'});
+	expect(await a.submit(order(upstream.dispatch, {attempt: 2}))).toMatchObject({kind: 'in-doubt'});
+	expect(await a.query('orders', 't', 'k')).toEqual({state: 'claimed', answer: undefined});
+	expect(upstream.runs()).toBe(0);
+	expect(a.statistics().inProgress).toBe(0);
+});
+
+test('a request whose kept answer is damaged is in doubt and is not run again', async () => {
+	const platform = createMemoryPlatform();
+	const largeAnswer = {...answer, body: 'x'.repeat(100)};
+	const upstream = createUpstream({kind: 'answered', answer: largeAnswer});
+	const a = createEntry(platform, {limits: {...fastLimits, maximumRowAnswerLength: 10}});
+	await a.submit(order(upstream.dispatch));
+	await vi.waitFor(() => {
+		expect(a.statistics().pendingOutcomes).toBe(0);
+	});
+	platform.state.putObject(platform.state.listObjects('order-answers/')[0]!, '{"status":');
+	expect(await a.submit(order(upstream.dispatch, {attempt: 2}))).toMatchObject({kind: 'in-doubt'});
+	expect(upstream.runs()).toBe(1);
+});
+
 const outages: ReadonlyArray<{
 	readonly name: string;
 	readonly faults: readonly Fault[];
--- a/packages/orders/src/__tests__/retention.test.ts
+++ b/packages/orders/src/__tests__/retention.test.ts
@@ -42,3 +42,11 @@
 	expect(result._unsafeUnwrap()).toMatchObject({removed: 0, leaseLost: true});
 	expect(platform.state.listObjects('order-answers/')).toHaveLength(5);
 });
+
+test('a damaged row is kept and does not end the pass', async () => {
+	const {platform, options} = await setUp(3);
+	platform.state.transact({checks: [], writes: [{key: 'orders/s/0001', value: 'damaged'}]});
+	const result = await removeExpiredOrders({...options, wallClock: () => 10_000});
+	expect(result._unsafeUnwrap()).toEqual({seen: 3, removed: 2, leaseLost: false});
+	expect(platform.state.read('orders/s/0001')?.value).toBe('damaged');
+});
--- a/packages/orders/src/claim.ts
+++ b/packages/orders/src/claim.ts
@@ -52,6 +52,10 @@
 		return {kind: 'held', revision};
 	}
 
+	if (row.state === 'damaged') {
+		return {kind: 'busy', inDoubt: 'the record of an earlier attempt under this key is damaged'};
+	}
+
 	if (row.fingerprint !== order.fingerprint) {
 		return {kind: 'different'};
 	}
--- a/packages/orders/src/createOrders.ts
+++ b/packages/orders/src/createOrders.ts
@@ -2,6 +2,7 @@
  * At-most-once requests, coordinated through rows of the platform's table.
  */
 import {randomUUID} from 'node:crypto';
+import {ordersEvents} from '@filbertwell/logger/events/ordersEvents';
 import type {Logger} from '@filbertwell/logger/logger';
 import type {ObjectStore} from '@filbertwell/platform/objectStore';
 import type {Table} from '@filbertwell/platform/table';
@@ -120,6 +121,11 @@
 				return {state: 'absent', answer: undefined};
 			}
 
+			if (row.state === 'damaged') {
+				log(ordersEvents.rowDamaged, {service, key});
+				return {state: 'claimed', answer: undefined};
+			}
+
 			return {state: row.state, answer: row.state === 'done' ? await keptAnswers.restore(row.kept) : undefined};
 		},
 		statistics: () => ({
--- a/packages/orders/src/keptAnswers.ts
+++ b/packages/orders/src/keptAnswers.ts
@@ -4,13 +4,13 @@
 import type {ObjectStore} from '@filbertwell/platform/objectStore';
 import {contentHash} from '@filbertwell/utils/hash';
 import type {OrderLimits} from './orderLimits.js';
-import {orderObjectPrefix, type StoredAnswer} from './orderRow.js';
+import {orderObjectPrefix, parseKeptAnswer, type StoredAnswer} from './orderRow.js';
 import type {KeptAnswer} from './orders.js';
 
 /** Keeps and restores answers. */
 export type KeptAnswers = {
 	readonly keep: (token: string, answer: KeptAnswer) => Promise<StoredAnswer>;
-	/** Restores an answer; `undefined` if only its summary was kept or the object cannot be read. */
+	/** Restores an answer; `undefined` if only its summary was kept, or the object cannot be read or is damaged. */
 	readonly restore: (kept: StoredAnswer) => Promise<KeptAnswer | undefined>;
 };
 
@@ -48,7 +48,7 @@
 			}
 
 			const content = await objects.get(kept.objectKey);
-			return content.isOk() && content.value !== undefined ? JSON.parse(content.value) as KeptAnswer : undefined;
+			return content.isOk() && content.value !== undefined ? parseKeptAnswer(content.value) : undefined;
 		},
 	};
 };
--- a/packages/orders/src/orderCleanup.ts
+++ b/packages/orders/src/orderCleanup.ts
@@ -2,6 +2,7 @@
  * Removes rows of orders past their retention periodically. A lease ensures that one process does so at a time.
  */
 import {setTimeout as delay} from 'node:timers/promises';
+import {ordersEvents} from '@filbertwell/logger/events/ordersEvents';
 import type {Logger} from '@filbertwell/logger/logger';
 import type {Lease} from '@filbertwell/platform/lease';
 import type {ObjectStore} from '@filbertwell/platform/objectStore';
@@ -46,9 +47,13 @@
 
 	const pass = async (): Promise<void> => {
 		isPassRunning = true;
-		await removeExpiredOrders({
+		const result = await removeExpiredOrders({
 			table, objects, log, wallClock, retentionMs, fence: lease.fence, pause: async () => delay(pagePauseMs),
 		});
+		if (result.isErr()) {
+			log(ordersEvents.cleanupFailed, {reason: result.error.detail});
+		}
+
 		nextPassAtMs = clock() + passIntervalMs;
 		isPassRunning = false;
 	};
--- a/packages/orders/src/orderRow.ts
+++ b/packages/orders/src/orderRow.ts
@@ -7,6 +7,7 @@
  */
 import type {Row} from '@filbertwell/platform/table';
 import {contentHash} from '@filbertwell/utils/hash';
+import * as z from 'zod';
 import type {KeptAnswer, Order} from './orders.js';
 
 /** Fields that a row has in every state. */
@@ -30,7 +31,11 @@
 export type OrderRow =
 	| RowBase & {readonly state: 'claimed'; readonly inDoubt: string | undefined}
 	| RowBase & {readonly state: 'done'; readonly kept: StoredAnswer}
-	| RowBase & {readonly state: 'released'; readonly reason: string};
+	| RowBase & {readonly state: 'released'; readonly reason: string}
+	| DamagedRow;
+
+/** A row that can't be read. Its request may have run, so it is never run again, and nothing shows when the row may be removed. */
+export type DamagedRow = RowBase & {readonly state: 'damaged'};
 
 /** A row with its revision in the table. */
 export type StoredOrder = {
@@ -84,18 +89,57 @@
  */
 export const serializeOrderRow = (row: OrderRow): string => JSON.stringify(row);
 
+const baseSchema = z.object({
+	token: z.string(), fingerprint: z.string(), attempt: z.number(), claimedAt: z.number(),
+});
+const keptAnswerSchema = z.object({status: z.number(), headers: z.array(z.tuple([z.string(), z.string()])), body: z.string()});
+const storedAnswerSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('whole'), answer: keptAnswerSchema}),
+	z.object({kind: z.literal('object'), objectKey: z.string(), status: z.number()}),
+	z.object({kind: z.literal('summary'), status: z.number(), bodyHash: z.string()}),
+]);
+const rowSchema = z.discriminatedUnion('state', [
+	baseSchema.extend({state: z.literal('claimed'), inDoubt: z.string().optional()}),
+	baseSchema.extend({state: z.literal('done'), kept: storedAnswerSchema}),
+	baseSchema.extend({state: z.literal('released'), reason: z.string()}),
+]);
+
+const damagedRow: DamagedRow = {
+	state: 'damaged', token: '', fingerprint: '', attempt: 0, claimedAt: Number.POSITIVE_INFINITY,
+};
+
+const parseJson = (text: string): unknown => {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+};
+
 /**
  * Parses a row's content.
  *
  * @param stored - Row of the table.
- * @returns Content and revision.
- * @throws {Error} If the value is not JSON or the state is unknown, because something else wrote the row.
+ * @returns Content and revision; the state is `damaged` if the content is not that of an order.
  */
 export const parseOrderRow = (stored: Row): StoredOrder => {
-	const row = JSON.parse(stored.value) as OrderRow;
-	if (!['claimed', 'done', 'released'].includes(row.state)) {
-		throw new Error(`row "${stored.key}" has the unknown state "${String(row.state)}"; only this package may write rows under "${orderRowPrefix}"`);
+	const parsed = rowSchema.safeParse(parseJson(stored.value));
+	if (!parsed.success) {
+		return {revision: stored.revision, row: damagedRow};
 	}
 
-	return {revision: stored.revision, row};
+	const {data} = parsed;
+	// JSON has no `undefined`, so the reason of a claim that is not in doubt is missing.
+	return {revision: stored.revision, row: data.state === 'claimed' ? {...data, inDoubt: data.inDoubt} : data};
+};
+
+/**
+ * Parses a kept answer.
+ *
+ * @param text - Content of an object that `keptAnswers` wrote.
+ * @returns The answer; `undefined` if the content is damaged.
+ */
+export const parseKeptAnswer = (text: string): KeptAnswer | undefined => {
+	const parsed = keptAnswerSchema.safeParse(parseJson(text));
+	return parsed.success ? parsed.data : undefined;
 };
--- a/packages/orders/src/retention.ts
+++ b/packages/orders/src/retention.ts
@@ -66,6 +66,10 @@
 			return err(page.error);
 		}
 
+		for (const {key} of page.value.filter(row => parseOrderRow(row).row.state === 'damaged')) {
+			log(ordersEvents.rowDamaged, {row: key});
+		}
+
 		const expired = page.value.filter(row => isExpired(row, wallClock(), retentionMs));
 		const check = fence();
 		if (check === undefined) {
