--- a/packages/dispatch/src/__tests__/serviceShares.test.ts
+++ b/packages/dispatch/src/__tests__/serviceShares.test.ts
@@ -1,6 +1,6 @@
 import {createManualClock} from '@filbertwell/utils/clock';
 import {describe, expect, test} from 'vitest';
-import {createServiceShares, inferDemands, type EndpointUsage} from '../serviceShares.js';
+import {createServiceShares, inferDemands, type RegionUsage} from '../serviceShares.js';
 
 type Region = 'small' | 'large' | 'middle';
 
@@ -25,12 +25,12 @@
 		// No heartbeat has reported a request rate yet.
 		instances: () => Array.from({length: 80}, () => ({region: 'large', requestsPerSecond: 0})),
 		slotsPerRequest: () => 0.5,
-		endpoints: () => regions.flatMap((region): EndpointUsage[] => {
+		usages: () => regions.flatMap((region): RegionUsage[] => {
 			const regionSlots = slotsOf(second)[region];
 			return regionSlots === undefined
 				? []
 				: [{
-					region, slots: regionSlots, slowdown: 1, load: loads.get(region) ?? 0,
+					region, slots: regionSlots, effectiveSlots: regionSlots, load: loads.get(region) ?? 0,
 				}];
 		}),
 		largestShift: () => 0.15,
@@ -79,7 +79,11 @@
 });
 
 test('requests that the local region sends to others do not count as their demand', () => {
-	const usages = new Map([['small', {capacity: 80, load: 40}], ['large', {capacity: 400, load: 180}]]);
+	const usages = [{
+		region: 'small', slots: 80, effectiveSlots: 80, load: 40,
+	}, {
+		region: 'large', slots: 400, effectiveSlots: 400, load: 180,
+	}];
 	expect(inferDemands('small', usages, new Map([['small', 0.4], ['large', 0.6]]))).toEqual([
 		{region: 'small', capacity: 80, demand: 100}, {region: 'large', capacity: 400, demand: 120},
 	]);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -19,6 +19,7 @@
 import {createKeyAffinities, keyOf, type KeyAffinity} from './keyAffinity.js';
 import {createUntriedEndpoints} from './untriedEndpoints.js';
 import {createOverflowBudget, type OverflowBudget} from './overflowBudget.js';
+import {regionUsageOf} from './regionUsage.js';
 import {createServiceShares} from './serviceShares.js';
 import type {SendResult, TrackedEndpoint} from './trackedEndpoint.js';
 import {createProcessingTimeEstimate, type ProcessingTimeEstimate} from './processingTimeEstimate.js';
@@ -117,9 +118,7 @@
 		instances,
 		// Other instances report only their total request rate; the same mix of services is assumed for them.
 		slotsPerRequest: service => arrivals.shareOf(service) * meanProcessingMsOf(service) / millisecondsPerSecond,
-		endpoints: service => [...pool.usable(service)].flatMap(([region, endpoints]) => endpoints.map(endpoint => ({
-			region, slots: endpoint.slots(), slowdown: endpoint.slowdown(), load: endpoint.load(),
-		}))),
+		usages: service => [...pool.usable(service)].map(([region, endpoints]) => regionUsageOf(region, endpoints)),
 		largestShift,
 	});
 
--- a/packages/dispatch/src/serviceShares.ts
+++ b/packages/dispatch/src/serviceShares.ts
@@ -15,13 +15,13 @@
 	readonly requestsPerSecond: number;
 };
 
-/** Capacity and load of one endpoint. */
-export type EndpointUsage = {
+/** Capacity and load of the endpoints of a service in one region. */
+export type RegionUsage = {
 	readonly region: RegionName;
 	readonly slots: number;
-	/** Processing time at the endpoint relative to the usual one. */
-	readonly slowdown: number;
-	/** Requests at the endpoint, running and waiting; each counts as one slot. */
+	/** Slots at the usual speed: a slot of an endpoint that takes twice as long counts as a half. */
+	readonly effectiveSlots: number;
+	/** Requests at the endpoints, running and waiting; each counts as one slot. */
 	readonly load: number;
 };
 
@@ -33,7 +33,8 @@
 	readonly instances: () => readonly InstanceDemand[];
 	/** Slots of a service that are occupied by a rate of one request a second over all services. */
 	readonly slotsPerRequest: (service: string) => number;
-	readonly endpoints: (service: string) => readonly EndpointUsage[];
+	/** Usage of the regions in which a service has endpoints. */
+	readonly usages: (service: string) => readonly RegionUsage[];
 	/** Largest fraction of the requests of a region that may change their serving region within 2 s, from 0 to 1. */
 	readonly largestShift: () => number;
 };
@@ -60,12 +61,6 @@
 /** Smallest share of the local region from which the demand can be inferred. */
 const minimumInformativeShare = 0.05;
 
-/** Total capacity and load of the endpoints of a region, in slots. */
-type RegionUsage = {
-	capacity: number;
-	load: number;
-};
-
 /** Shares of a service with the smoothed load by region from which they are computed. */
 type ServiceState = {
 	readonly shares: RateLimitedShares;
@@ -77,16 +72,17 @@
  * gives its demand. The demand of another region is its load without the requests from the local region.
  *
  * @param localRegion - Region whose requests are divided.
- * @param usages - Capacity and load by region, in slots.
+ * @param usages - Capacity and load of the regions.
  * @param shares - Shares in force while the load was measured.
  * @returns Demand and capacity by region. The demand of the local region is 0 if its share is below 5%.
  */
-export const inferDemands = (localRegion: RegionName, usages: ReadonlyMap<RegionName, Readonly<RegionUsage>>, shares: RegionShares): RegionLoad[] => {
+export const inferDemands = (localRegion: RegionName, usages: readonly RegionUsage[], shares: RegionShares): RegionLoad[] => {
 	const localShare = shares.get(localRegion) ?? 0;
-	const localDemand = localShare < minimumInformativeShare ? 0 : (usages.get(localRegion)?.load ?? 0) / localShare;
-	return [...usages].map(([region, {capacity, load}]) => ({
+	const localLoad = usages.find(({region}) => region === localRegion)?.load ?? 0;
+	const localDemand = localShare < minimumInformativeShare ? 0 : localLoad / localShare;
+	return usages.map(({region, slots, load}) => ({
 		region,
-		capacity,
+		capacity: slots,
 		demand: region === localRegion ? localDemand : Math.max(0, load - (localDemand * (shares.get(region) ?? 0))),
 	}));
 };
@@ -97,54 +93,36 @@
  * @param options - Demand, endpoints and the bound on shifts.
  * @returns The shares.
  */
-export const createServiceShares = ({clock, localRegion, instances, slotsPerRequest, endpoints, largestShift}: ServiceSharesOptions): ServiceShares => {
+export const createServiceShares = ({clock, localRegion, instances, slotsPerRequest, usages, largestShift}: ServiceSharesOptions): ServiceShares => {
 	const byService = new Map<string, ServiceState>();
 
-	const measureUsages = (service: string, smoothedLoads: Map<RegionName, number>): ReadonlyMap<RegionName, RegionUsage> => {
-		const usages = new Map<RegionName, RegionUsage>();
-		for (const {region, slots, load} of endpoints(service)) {
-			const usage = usages.get(region) ?? {capacity: 0, load: 0};
-			usages.set(region, usage);
-			usage.capacity += slots;
-			usage.load += load;
-		}
-
-		for (const [region, usage] of usages) {
-			const previousLoad = smoothedLoads.get(region) ?? usage.load;
-			usage.load = previousLoad + (loadSampleWeight * (usage.load - previousLoad));
-			smoothedLoads.set(region, usage.load);
-		}
-
-		return usages;
-	};
+	/** Replaces the load of each region by the smoothed one. */
+	const smoothLoads = (current: readonly RegionUsage[], smoothedLoads: Map<RegionName, number>): readonly RegionUsage[] => current.map(usage => {
+		const previousLoad = smoothedLoads.get(usage.region) ?? usage.load;
+		const load = previousLoad + (loadSampleWeight * (usage.load - previousLoad));
+		smoothedLoads.set(usage.region, load);
+		return {...usage, load};
+	});
 
 	/** Demand in slots from the request rates of the instances, and capacity in slots at the usual speed. */
-	const reportedLoads = (service: string): RegionLoad[] => {
-		const loadByRegion = new Map<RegionName, {demand: number; capacity: number}>();
-		const loadOf = (region: RegionName) => {
-			const load = loadByRegion.get(region) ?? {demand: 0, capacity: 0};
-			loadByRegion.set(region, load);
-			return load;
-		};
-
+	const reportedLoads = (service: string, current: readonly RegionUsage[]): RegionLoad[] => {
+		const demands = new Map<RegionName, number>();
 		for (const {region, requestsPerSecond} of instances()) {
-			loadOf(region).demand += requestsPerSecond * slotsPerRequest(service);
-		}
-
-		for (const {region, slots, slowdown} of endpoints(service)) {
-			loadOf(region).capacity += slots / slowdown;
+			demands.set(region, (demands.get(region) ?? 0) + (requestsPerSecond * slotsPerRequest(service)));
 		}
 
-		return [...loadByRegion].map(([region, {demand, capacity}]) => ({region, demand, capacity}));
+		const capacities = new Map(current.map(({region, effectiveSlots}) => [region, effectiveSlots]));
+		const regions = new Set([...demands.keys(), ...capacities.keys()]);
+		return [...regions].map(region => ({region, demand: demands.get(region) ?? 0, capacity: capacities.get(region) ?? 0}));
 	};
 
-	const targetSharesOf = (service: string, {shares}: ServiceState, usages: ReadonlyMap<RegionName, RegionUsage>): RegionShares => instances().length <= smallDeploymentInstances
-		? targetShares(localRegion, reportedLoads(service))
-		: targetShares(localRegion, inferDemands(localRegion, usages, shares.current()), inferredLocalUtilization);
+	const targetSharesOf = (service: string, {shares}: ServiceState, current: readonly RegionUsage[]): RegionShares => instances().length <= smallDeploymentInstances
+		? targetShares(localRegion, reportedLoads(service, current))
+		: targetShares(localRegion, inferDemands(localRegion, current, shares.current()), inferredLocalUtilization);
 
 	const updateService = (service: string, state: ServiceState) => {
-		const usages = measureUsages(service, state.smoothedLoads);
-		state.shares.update(targetSharesOf(service, state, usages), new Set(usages.keys()));
+		const current = smoothLoads(usages(service), state.smoothedLoads);
+		state.shares.update(targetSharesOf(service, state, current), new Set(current.map(({region}) => region)));
 	};
 
 	return {
--- a/packages/dispatch/src/trackedEndpoint.ts
+++ b/packages/dispatch/src/trackedEndpoint.ts
@@ -135,7 +135,8 @@
 		recentKeys.clear();
 	};
 
-	const currentObservedSlowdown = () => 1 + ((observedSlowdown - 1) * decay(clock() - observedAtMs, slowdownHalfLifeMs));
+	// Most endpoints have no recent observation at an instance of a large deployment, so no decay is computed for them.
+	const currentObservedSlowdown = () => observedSlowdown === 1 ? 1 : 1 + ((observedSlowdown - 1) * decay(clock() - observedAtMs, slowdownHalfLifeMs));
 
 	const recordSlowdown = (ratio: number) => {
 		const bounded = Math.min(Math.max(ratio, minimumSlowdownSample), maximumSlowdownSample);
@@ -154,13 +155,17 @@
 		slots: () => reportedSlots ?? registered.endpoint.slots,
 		sentRequestCount: () => sentRequestCount,
 		warmSinceMs: () => Math.max(coldUntilMs, registered.firstSeenAtMs),
-		load: () => inFlightRequests.size + (othersLoad * decay(clock() - reportedAtMs, othersLoadHalfLifeMs)),
+		load: () => othersLoad === 0 ? inFlightRequests.size : inFlightRequests.size + (othersLoad * decay(clock() - reportedAtMs, othersLoadHalfLifeMs)),
 		usualLoad() {
 			const ageMs = clock() - reportedAtMs;
 			const reportWeight = decay(ageMs, othersLoadHalfLifeMs);
 			return inFlightRequests.size + (othersLoad * reportWeight) + (usualOthersLoad * decay(ageMs, usualLoadHalfLifeMs) * (1 - reportWeight));
 		},
 		slowdown() {
+			if (reportedSlowdown === 1) {
+				return currentObservedSlowdown();
+			}
+
 			const reportWeight = Math.exp((reportedAtMs - clock()) / reportedSlowdownDecayMs);
 			return currentObservedSlowdown() * ((reportedSlowdown * reportWeight) + (1 - reportWeight));
 		},
--- a/packages/peer-protocol/src/__tests__/datagram.test.ts
+++ b/packages/peer-protocol/src/__tests__/datagram.test.ts
@@ -38,6 +38,27 @@
 	}), {seed});
 });
 
+test('a heartbeat that is shortened keeps as many records and beats as fit', () => {
+	const record = {
+		...sender, role: 'entry', region: 'south', availabilityZone: 'south-ä', site: 'south', callerAddress: {host: '10.0.0.1', port: 80}, peerAddress: {host: '10.0.0.1', port: 81},
+	} as const;
+	fc.assert(fc.property(fc.integer({min: 0, max: 6}), fc.integer({min: 0, max: 14}), (recordCount, beatCount) => {
+		const records = Array.from({length: recordCount}, (_, index) => ({...record, id: `entry-${index}`}));
+		const beats = Array.from({length: beatCount}, (_, index) => ({...sender, id: `entry-${index}`}));
+		const fitted = fitHeartbeat({
+			kind: 'probe', sender, records, beats,
+		});
+		const [keptRecords, keptBeats] = [fitted.records?.length ?? 0, fitted.beats?.length ?? 0];
+		expect(encodeHeartbeat(fitted).isOk()).toBe(true);
+		expect(keptBeats === 0 || keptRecords === recordCount).toBe(true);
+		const isWhole = keptRecords === recordCount && keptBeats === beatCount;
+		const longer = keptRecords < recordCount
+			? {...fitted, records: records.slice(0, keptRecords + 1)}
+			: {...fitted, beats: beats.slice(0, keptBeats + 1)};
+		expect(isWhole || encodeHeartbeat(longer).isErr()).toBe(true);
+	}), {seed});
+});
+
 test('a heartbeat over the size limit is rejected', () => {
 	const beats = Array.from({length: 16}, () => sender);
 	expect(encodeHeartbeat({kind: 'probe', sender, beats})._unsafeUnwrapErr().kind).toBe('tooLarge');
--- a/packages/peer-protocol/src/datagram.ts
+++ b/packages/peer-protocol/src/datagram.ts
@@ -50,6 +50,29 @@
 	return ok(isCompressed ? Buffer.concat([Buffer.of(compressionMarker), deflateRawSync(datagram, compressionOptions)]) : datagram);
 };
 
+const jsonBytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
+/** Bytes of `,"name":[]`. */
+const emptyListBytes = (name: string): number => jsonBytes(name) + 4;
+
+/** Number of first items of a list that fit into the available bytes, the list itself included. */
+const fittingItems = (name: string, items: readonly unknown[], availableBytes: number): {readonly count: number; readonly bytes: number} => {
+	let bytes = 0;
+	let count = 0;
+	for (const item of items) {
+		// The list is counted with its first item; further items are preceded by a comma.
+		const nextBytes = bytes + jsonBytes(item) + (count === 0 ? emptyListBytes(name) : 1);
+		if (nextBytes > availableBytes) {
+			break;
+		}
+
+		bytes = nextBytes;
+		count += 1;
+	}
+
+	return {count, bytes};
+};
+
 /**
  * Drops beats, then records, from the end of a heartbeat until it fits into a datagram.
  *
@@ -57,19 +80,19 @@
  * @returns The longest heartbeat that fits, or one without beats and records if none fits.
  */
 export const fitHeartbeat = (heartbeat: Heartbeat): Heartbeat => {
-	let fitting = heartbeat;
-	while (encodeHeartbeat(fitting).isErr()) {
-		const {beats = [], records = []} = fitting;
-		if (beats.length === 0 && records.length === 0) {
-			return fitting;
-		}
-
-		fitting = beats.length > 0
-			? {...fitting, beats: beats.slice(0, -1)}
-			: {...fitting, records: records.slice(0, -1)};
+	const {beats = [], records = [], ...rest} = heartbeat;
+	const availableBytes = maximumDatagramBytes - jsonBytes(createJSONRPCNotification(heartbeatMethod, rest));
+	const fittingRecords = fittingItems('records', records, availableBytes);
+	const fittingBeats = fittingRecords.count < records.length ? {count: 0} : fittingItems('beats', beats, availableBytes - fittingRecords.bytes);
+	if (fittingBeats.count === beats.length && fittingRecords.count === records.length) {
+		return heartbeat;
 	}
 
-	return fitting;
+	return {
+		...rest,
+		...(fittingRecords.count > 0 && {records: records.slice(0, fittingRecords.count)}),
+		...(fittingBeats.count > 0 && {beats: beats.slice(0, fittingBeats.count)}),
+	};
 };
 
 const parseJson = (text: string): Result<unknown, PeerError> => {
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -99,13 +99,7 @@
 	contactSeconds: 3,
 };
 
-/**
- * Reads the limits of the deployment from `[deployment] bounds`.
- *
- * @param settings - Validated settings.
- * @returns The limits, with defaults for those that the settings do not specify.
- */
-export const deploymentBounds = ({deployment}: GatewaySettings): DeploymentBounds => {
+const readBounds = ({deployment}: GatewaySettings): DeploymentBounds => {
 	const value = (name: string): number => deployment.bounds.get(name) ?? defaultBounds[name]!;
 	const milliseconds = (name: string): number => value(name) * millisecondsPerSecond;
 	return {
@@ -121,6 +115,21 @@
 	};
 };
 
+/** The limits are read for each request, and settings never change after they have been loaded. */
+const boundsBySettings = new WeakMap<GatewaySettings, DeploymentBounds>();
+
+/**
+ * Returns the limits of the deployment from `[deployment] bounds`.
+ *
+ * @param settings - Validated settings.
+ * @returns The limits, with defaults for those that the settings do not specify.
+ */
+export const deploymentBounds = (settings: GatewaySettings): DeploymentBounds => {
+	const bounds = boundsBySettings.get(settings) ?? readBounds(settings);
+	boundsBySettings.set(settings, bounds);
+	return bounds;
+};
+
 /**
  * Reads and validates the settings of a gateway.
  *
