--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -211,17 +211,11 @@
 		const processingMs = Math.max(1, tookMs - roundTripMs(zone) - estimate.waitMs);
 		const previousMs = meanProcessingTimes.get(request.service) ?? processingMs;
 		meanProcessingTimes.set(request.service, previousMs + (meanProcessingSampleWeight * (processingMs - previousMs)));
-		if (estimate.waitMs > 0) {
+		if (estimate.waitMs > 0 || warmth === 'unknown') {
 			return undefined;
 		}
 
-		const usualMs = processingMs / endpoint.slowdown();
-		const processingTime = processingTimeOf(request.route);
-		if (warmth === 'unknown') {
-			return undefined;
-		}
-
-		processingTime.record(warmth === 'warm', usualMs);
+		processingTimeOf(request.route).record(warmth === 'warm', processingMs / endpoint.slowdown());
 		return processingMs / (estimate.processingMs / endpoint.slowdown());
 	};
 
