Entry: the body of a refusal without end, interim answers without end

Cause: the body of an upstream's refusal was read without a limit of bytes or time, since it is needed only to keep the connection. An upstream that sends without end kept its connection and the processor of the entry for good. Interim answers were accepted until the deadline.

Change: such a body is read up to 64 KiB and for 1 s, then the connection is closed; more than 16 interim answers fail the attempt. The test of interim answers expects the failure now instead of the deadline, which is stricter.

--- a/packages/entry/src/__tests__/upstreamClient.test.ts
+++ b/packages/entry/src/__tests__/upstreamClient.test.ts
@@ -6,7 +6,7 @@
 	type AddressInfo, createServer, type Server, type Socket,
 } from 'node:net';
 import type {Attempt} from '@filbertwell/routing/attempt';
-import {requestIdHeader} from '@filbertwell/types/headers';
+import {requestIdHeader, upstreamOutcomeHeader} from '@filbertwell/types/headers';
 import type {Endpoint} from '@filbertwell/types/intent';
 import {
 	afterEach, describe, expect, test, vi,
@@ -122,7 +122,7 @@
 		['that are no answer', '', 'x'.repeat(1000), 'failed'],
 		['in one header', 'HTTP/1.1 200 OK\r\nX-More: ', 'x'.repeat(1000), 'failed'],
 		['in many headers', 'HTTP/1.1 200 OK\r\n', `X-More: ${'x'.repeat(500)}\r\n`, 'failed'],
-		['in interim answers', '', 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n', 'cancelled'],
+		['in interim answers', '', 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n', 'failed'],
 	])('%s end the attempt as one that may have run, and the connection is closed', async (_, beginning, piece, kind) => {
 		const {send, closedConnections} = await start(endlessly(beginning, piece), 500);
 		expect(await send('a')).toBe(kind);
@@ -130,4 +130,42 @@
 			expect(closedConnections()).toBe(1);
 		});
 	});
+
+	test('in interim answers end the attempt long before its deadline', async () => {
+		const {send, closedConnections} = await start(endlessly('', 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'), 60_000);
+		expect(await send('a')).toBe('failed');
+		await vi.waitFor(() => {
+			expect(closedConnections()).toBe(1);
+		});
+	});
+
+	test('in the body of an answer are cut off at the deadline', async () => {
+		const {send, closedConnections} = await start(endlessly(`HTTP/1.1 200 OK\r\n${requestIdHeader}: a\r\nTransfer-Encoding: chunked\r\n\r\n`, `3e8\r\n${'x'.repeat(1000)}\r\n`), 300);
+		void send('a');
+		await vi.waitFor(() => {
+			expect(closedConnections()).toBe(1);
+		}, {timeout: 3000});
+	});
+
+	/** The body of a refusal is not needed, so that no deadline would end it. */
+	test.each([
+		['quickly', 1000, (socket: Socket) => {
+			endlessly('', `3e8\r\n${'x'.repeat(1000)}\r\n`)(socket);
+		}],
+		['slowly', 3000, (socket: Socket) => {
+			const timer = setInterval(() => socket.write('1\r\nx\r\n'), 20);
+			socket.once('close', () => {
+				clearInterval(timer);
+			});
+		}],
+	])('in the body of a refusal, sent %s, close the connection', async (_, timeoutMs, writeBody) => {
+		const {send, closedConnections} = await start(socket => {
+			socket.write(`HTTP/1.1 503 Busy\r\n${requestIdHeader}: a\r\n${upstreamOutcomeHeader}: not-run\r\nTransfer-Encoding: chunked\r\n\r\n`);
+			writeBody(socket);
+		}, 60_000);
+		expect(await send('a')).toBe('not-run');
+		await vi.waitFor(() => {
+			expect(closedConnections()).toBe(1);
+		}, {timeout: timeoutMs});
+	});
 });
--- a/packages/entry/src/upstreamClient.ts
+++ b/packages/entry/src/upstreamClient.ts
@@ -66,6 +66,11 @@
 const reportTimeoutMs = 800;
 const maximumReportBytes = 4096;
 const maximumResponseHeaderBytes = 32_768;
+/** Interim responses (1xx) accepted before the final one; a faulty upstream could send them without end. */
+const maximumInterimResponses = 16;
+/** Limits for the body of a refusal, which is read only so that the connection can be kept. */
+const maximumDiscardedBytes = 65_536;
+const discardTimeoutMs = 1000;
 
 const firstHeaderValue = (message: IncomingMessage, name: string): string | undefined => {
 	const value = message.headers[name];
@@ -110,9 +115,20 @@
 	stream.pipe(outgoing);
 };
 
+/** Reads a body that is not needed. If it is large or slow, its connection is closed. */
 const discard = (message: IncomingMessage): void => {
+	let bytes = 0;
+	const timer = setTimeout(() => message.destroy(), discardTimeoutMs);
 	message.on('error', () => undefined);
-	message.resume();
+	message.once('close', () => {
+		clearTimeout(timer);
+	});
+	message.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.length;
+		if (bytes > maximumDiscardedBytes) {
+			message.destroy();
+		}
+	});
 };
 
 /**
@@ -153,6 +169,7 @@
 		let message: IncomingMessage | undefined;
 		/** Whether the connection is open; from then on, the request may have been written. */
 		let isConnected = false;
+		let interimResponses = 0;
 		let complete: (completion: Completion) => void = () => undefined;
 
 		const onAbort = () => {
@@ -212,6 +229,12 @@
 				onConnected();
 			}
 		});
+		outgoing.on('information', () => {
+			interimResponses += 1;
+			if (interimResponses > maximumInterimResponses) {
+				outgoing.destroy(new Error(`over ${maximumInterimResponses} interim responses`));
+			}
+		});
 		outgoing.once('response', incoming => {
 			message = incoming;
 			clearTimeout(connectTimer);
