--- a/packages/logger/src/events/ordersEvents.ts
+++ b/packages/logger/src/events/ordersEvents.ts
@@ -51,7 +51,7 @@
 		number: 7008,
 		name: 'row-damaged',
 		level: 'error',
-		meaning: 'The row of an at-most-once request can not be read. Its request is in doubt and is not run again. Find out what wrote the row, and remove it when the request has been settled.',
+		meaning: 'The row of an at-most-once request cannot be read. Its request is in doubt and is not run again. Find out what wrote the row, and remove it when the request has been settled.',
 	},
 	cleanupFailed: {
 		number: 7009,
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -18,7 +18,10 @@
 			region: nameSetting({description: 'Region of the instance.'}),
 			availabilityZone: nameSetting({description: 'Availability zone of the instance.'}),
 			processor: numberMapSetting({description: 'Processor capacity that the process may use: `share` of a core on `cores` cores; each defaults to 1.', defaultText: ''}),
-			bootstrap: flagSetting({description: 'Whether all instances of the deployment start for the first time; the list of instances is then read a second later.', defaultText: 'false'}),
+			bootstrap: flagSetting({
+				description: 'Whether all instances of the deployment start for the first time. The list of instances is then read a second later, and only a few instances read the store; otherwise each reads it at once.',
+				defaultText: 'false',
+			}),
 			zones: nameMapSetting({description: 'Region of each availability zone of the deployment, as `zone:region`.'}),
 		},
 	},
