Discovery: failed reads in the logs, version and age of the plan in the metrics

Only the first failed read of an outage was logged, and calls between peers that fail left no line, so that a late plan could not be traced to its cause. Each failed read now has a line with its duration and the pause after it; each call to a peer that fails has one with its reason; gauges show the version and the age of the plan and the age of the registrations. No change of the logic.

--- a/packages/discovery/src/__tests__/followTable.test.ts
+++ b/packages/discovery/src/__tests__/followTable.test.ts
@@ -48,6 +48,7 @@
 		onChange({rows}) {
 			changes.push(...rows);
 		},
+		clock: monotonicClock,
 		random: createRandom(3),
 		log: silentLogger,
 		signal: stopping.signal,
--- a/packages/discovery/src/__tests__/powerLoss.test.ts
+++ b/packages/discovery/src/__tests__/powerLoss.test.ts
@@ -73,6 +73,7 @@
 			readFromPeer: async () => undefined,
 			isBehindPeers: () => false,
 			onChange: () => undefined,
+			clock,
 			random: createRandom(index),
 			log: silentLogger,
 			signal,
--- a/packages/discovery/src/followTable.ts
+++ b/packages/discovery/src/followTable.ts
@@ -3,8 +3,10 @@
  */
 import {discoveryEvents} from '@filbertwell/logger/events/discoveryEvents';
 import type {Logger} from '@filbertwell/logger/logger';
+import type {Clock} from '@filbertwell/utils/clock';
 import {waitUnlessAborted} from '@filbertwell/utils/periodic';
 import type {Random} from '@filbertwell/utils/random';
+import {err, ok, type Result} from 'neverthrow';
 import type {ReplicaChange, RowReplica} from './rowReplica.js';
 import type {VersionedRows, WatchedTable} from './watchedTable.js';
 
@@ -19,6 +21,7 @@
 	readonly isBehindPeers: () => boolean;
 	/** Called after each change of the replica that changed at least one row. */
 	readonly onChange: (change: ReplicaChange) => void;
+	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: Logger;
 	/** Stops following when it is aborted. */
@@ -44,7 +47,7 @@
  * @returns A promise that resolves after the abort.
  */
 export const followTable = async (options: FollowTableOptions): Promise<void> => {
-	const {name, table, replica, readFromPeer, isBehindPeers, onChange, random, log, signal, waitMs, pauseMs} = options;
+	const {name, table, replica, readFromPeer, isBehindPeers, onChange, clock, random, log, signal, waitMs, pauseMs} = options;
 	let isConnected = false;
 	let needsFullRead = true;
 
@@ -73,13 +76,14 @@
 		}
 	};
 
-	const readOnce = async (): Promise<boolean> => {
+	/** Reads once; the error describes why the read failed. */
+	const readOnce = async (): Promise<Result<void, string>> => {
 		const version = replica.version();
 		if (needsFullRead || version === undefined) {
 			const result = await table.readAll();
 			if (result.isErr()) {
 				updateConnection(false, result.error.detail);
-				return false;
+				return err(result.error.detail);
 			}
 
 			updateConnection(true, 'all rows were read');
@@ -87,7 +91,7 @@
 			if (change === undefined) {
 				// Answers of the store may lag after it has dropped its history.
 				log(discoveryEvents.snapshotOutdated, {table: name, version: result.value.version, known: version});
-				return false;
+				return err('the rows are outdated');
 			}
 
 			needsFullRead = false;
@@ -97,24 +101,24 @@
 				await applyPeerRows();
 			}
 
-			return true;
+			return ok();
 		}
 
 		const result = await table.readChanges(version, waitMs());
 		if (result.isErr()) {
 			updateConnection(false, result.error.detail);
-			return false;
+			return err(result.error.detail);
 		}
 
 		updateConnection(true, 'changes were read');
 		if (result.value === undefined) {
 			log(discoveryEvents.historyLost, {table: name, version});
 			needsFullRead = true;
-			return true;
+			return ok();
 		}
 
 		emit(replica.applyChanges(result.value));
-		return true;
+		return ok();
 	};
 
 	const followPeers = async () => {
@@ -129,9 +133,20 @@
 	const followStore = async () => {
 		let retryMs = initialRetryMs;
 		while (!signal.aborted) {
-			const hasSucceeded = await readOnce(); // eslint-disable-line no-await-in-loop
-			await waitUnlessAborted(hasSucceeded ? pauseMs : retryMs * (0.5 + random()), signal); // eslint-disable-line no-await-in-loop
-			retryMs = hasSucceeded ? initialRetryMs : Math.min(retryMs * 2, maximumRetryMs);
+			const startedAtMs = clock();
+			const result = await readOnce(); // eslint-disable-line no-await-in-loop
+			if (result.isOk()) {
+				retryMs = initialRetryMs;
+				await waitUnlessAborted(pauseMs, signal); // eslint-disable-line no-await-in-loop
+				continue;
+			}
+
+			const retryPauseMs = retryMs * (0.5 + random());
+			log(discoveryEvents.readFailed, {
+				table: name, reason: result.error, tookMs: Math.round(clock() - startedAtMs), pauseMs: Math.round(retryPauseMs),
+			});
+			retryMs = Math.min(retryMs * 2, maximumRetryMs);
+			await waitUnlessAborted(retryPauseMs, signal); // eslint-disable-line no-await-in-loop
 		}
 	};
 
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -197,6 +197,9 @@
 	}
 
 	metrics.observeGauge('store_calls', 'Calls to the store since the start', adapter.storeCallCount);
+	metrics.observeGauge('plan_version', 'Version of the traffic plan in force', () => trafficState.plan()?.version ?? 0);
+	metrics.observeGauge('plan_age_seconds', 'Time since the traffic plan was last known to be current', () => trafficState.planAgeMs() / millisecondsPerSecond);
+	metrics.observeGauge('registrations_age_seconds', 'Time since the registrations of the endpoints were last known to be current', () => trafficState.registrationsAgeMs() / millisecondsPerSecond);
 	metrics.observeGauge('peer_datagram_bytes', 'Bytes of heartbeats in both directions since the start, with headers', () => channel.traffic().datagramBytesIn + channel.traffic().datagramBytesOut);
 	metrics.observeGauge('peer_rpc_bytes', 'Bytes of calls between peers in both directions since the start', () => channel.traffic().rpcBytesIn + channel.traffic().rpcBytesOut);
 	metrics.observeGauge('requests_open', 'Requests of callers that are not yet answered', callerServer.openRequestCount);
--- a/packages/gateway/src/trafficState.ts
+++ b/packages/gateway/src/trafficState.ts
@@ -11,6 +11,7 @@
 } from '@filbertwell/discovery/sharedTable';
 import {createTableReaders} from '@filbertwell/discovery/tableReaders';
 import type {VersionedRows, WatchedTable} from '@filbertwell/discovery/watchedTable';
+import {discoveryEvents} from '@filbertwell/logger/events/discoveryEvents';
 import {createLogger} from '@filbertwell/logger/logger';
 import type {Membership} from '@filbertwell/membership/membership';
 import type {PeerChannel} from '@filbertwell/peer-protocol/peerChannel';
@@ -29,6 +30,8 @@
 	readonly plan: PlanFollower['plan'];
 	/** Time since the plan was last known to be the newest one, in milliseconds. */
 	readonly planAgeMs: () => number;
+	/** Time since the registrations were last known to be current, in milliseconds. */
+	readonly registrationsAgeMs: () => number;
 	/** Whether a newer plan may have to be in force: a peer has one, or the replica is older than the bound on plans. */
 	readonly isPlanOutdated: () => boolean;
 	readonly evacuatedZones: PlanFollower['evacuatedZones'];
@@ -106,10 +109,21 @@
 
 	const readRowsFromPeer = async (table: TableName): Promise<VersionedRows | undefined> => {
 		const peer = choosePeer(table);
-		const response = peer === undefined ? undefined : await readRowsFrom(peer.peerAddress, table, replicas[table].version() ?? -1);
-		return response?.isOk() === true && response.value.reading !== undefined
-			? {...response.value.reading, ageMs: response.value.ageMs}
-			: undefined;
+		if (peer === undefined) {
+			return undefined;
+		}
+
+		const startedAtMs = clock();
+		const response = await readRowsFrom(peer.peerAddress, table, replicas[table].version() ?? -1);
+		if (response.isErr()) {
+			log(discoveryEvents.peerReadFailed, {
+				table, peer: peer.id, reason: response.error, tookMs: Math.round(clock() - startedAtMs),
+			});
+			return undefined;
+		}
+
+		const {reading, ageMs} = response.value;
+		return reading === undefined ? undefined : {...reading, ageMs};
 	};
 
 	channel.handle('discovery.rows', ({table, newerThan}) => {
@@ -138,7 +152,7 @@
 		store, readers, readFromReader: readChangesFromReader(table), readAllFromReader: async ({peerAddress}) => readRowsFrom(peerAddress, table, -1), clock, times, isFirstStart,
 	});
 	const commonOptions = {
-		random, log, signal, waitMs: readers.storeWaitMs,
+		clock, random, log, signal, waitMs: readers.storeWaitMs,
 	};
 	const followOperators = async () => followTable({
 		...commonOptions,
@@ -178,6 +192,7 @@
 	return {
 		plan: planFollower.plan,
 		planAgeMs: replicas.operators.ageMs,
+		registrationsAgeMs: replicas.registrations.ageMs,
 		isPlanOutdated: () => replicas.operators.ageMs() > bounds().planMs || isPlanBehindPeers(),
 		evacuatedZones: planFollower.evacuatedZones,
 		endpoints: endpointDirectory.endpoints,
