Discovery: reads of an unreachable table do not wait, and are spaced from their starts

Callers were sent to the service of a replaced plan three seconds after a silent outage of the store had ended. Cause: a read that was sent during the outage waited for changes (1650 ms) and for an answer (900 ms), and the pause after it grew to 1500 ms, a constant; 4.05 s where contact_s is 3 s. The budget of readTimes counted the first pause only. A change just before the outage brings the reads of all instances into step, so that no peer has the new plan either. Change: while a table is unreachable, its reads do not wait for changes and fail after the answer time; the interval to the next read counts from the start of the failed one, so that a hung read is repeated at once; the longest interval follows from contact_s.

--- a/packages/discovery/src/__tests__/followTable.test.ts
+++ b/packages/discovery/src/__tests__/followTable.test.ts
@@ -53,6 +53,7 @@
 		log: silentLogger,
 		signal: stopping.signal,
 		waitMs: () => 0,
+		maximumRetryMs: () => 1000,
 		pauseMs: 1,
 	});
 	const stop = async () => {
--- a/packages/discovery/src/__tests__/powerLoss.test.ts
+++ b/packages/discovery/src/__tests__/powerLoss.test.ts
@@ -78,6 +78,7 @@
 			log: silentLogger,
 			signal,
 			waitMs: readers.storeWaitMs,
+			maximumRetryMs: () => times.maximumRetryMs,
 			pauseMs: 200,
 		});
 	}
--- a/packages/discovery/src/__tests__/silentOutage.test.ts
+++ b/packages/discovery/src/__tests__/silentOutage.test.ts
@@ -141,6 +141,7 @@
 		log: silentLogger,
 		signal: stopping.signal,
 		waitMs: () => readTimesOf(bounds).storeWaitMs,
+		maximumRetryMs: () => readTimesOf(bounds).maximumRetryMs,
 		pauseMs,
 	});
 	return replica;
--- a/packages/discovery/src/__tests__/tableReaders.test.ts
+++ b/packages/discovery/src/__tests__/tableReaders.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from 'vitest';
-import {readTimesOf} from '../readTimes.js';
+import {largestRetryJitter, readTimesOf} from '../readTimes.js';
 import {createTableReaders, type ReaderCandidate} from '../tableReaders.js';
 
 const regions = ['north', 'south', 'central'];
@@ -84,9 +84,10 @@
 		{planMs: 3000, drainMs: 3000, contactMs: 4000},
 		{planMs: 4000, drainMs: 4000, contactMs: 5000},
 	])('keep the bounds: plan $planMs ms, drain $drainMs ms, contact $contactMs ms', bounds => {
-		const {storeWaitMs, readerStoreWaitMs, answerMs, staleAfterMs} = readTimesOf(bounds);
+		const {storeWaitMs, readerStoreWaitMs, answerMs, staleAfterMs, maximumRetryMs} = readTimesOf(bounds);
 		const retryMs = 375;
 		expect(storeWaitMs + answerMs + retryMs).toBeLessThanOrEqual(bounds.contactMs);
+		expect(Math.max(maximumRetryMs * largestRetryJitter, answerMs) + answerMs).toBeLessThanOrEqual(bounds.contactMs);
 		expect(readerStoreWaitMs).toBeLessThan(staleAfterMs);
 		expect(staleAfterMs + 800).toBeLessThanOrEqual(Math.min(bounds.planMs, bounds.drainMs));
 	});
--- a/packages/discovery/src/followTable.ts
+++ b/packages/discovery/src/followTable.ts
@@ -7,6 +7,7 @@
 import {waitUnlessAborted} from '@filbertwell/utils/periodic';
 import type {Random} from '@filbertwell/utils/random';
 import {err, ok, type Result} from 'neverthrow';
+import {largestRetryJitter} from './readTimes.js';
 import type {ReplicaChange, RowReplica} from './rowReplica.js';
 import type {VersionedRows, WatchedTable} from './watchedTable.js';
 
@@ -28,26 +29,29 @@
 	readonly signal: AbortSignal;
 	/** Longest time that one read may wait for changes, in milliseconds. */
 	readonly waitMs: () => number;
+	/** Longest mean interval between the starts of two reads while reads fail, in milliseconds. */
+	readonly maximumRetryMs: () => number;
 	/** Pause after a successful read, in milliseconds. Changes in quick succession are then read together. */
 	readonly pauseMs: number;
 };
 
-/** Exponential backoff after failed reads. Jitter prevents all instances from calling a recovered store at the same time. */
+/** Mean interval between a failed read and the next one; it doubles with each further failure. */
 const initialRetryMs = 250;
-const maximumRetryMs = 1000;
+/** Mean pause after a read that took longer than the interval. */
+const minimumPauseMs = 50;
 /** Interval between reads from peers while the replica is stale or behind. */
 const peerIntervalMs = 250;
 /** Time by which an answer of the table may be late before the replica counts as stale. */
 const staleToleranceMs = 700;
 
 /**
- * Follows a table until the signal is aborted. Failed reads are repeated; only losing and regaining the table is logged.
+ * Follows a table until the signal is aborted. Failed reads are logged and repeated.
  *
  * @param options - Table, replica and access to the peers.
  * @returns A promise that resolves after the abort.
  */
 export const followTable = async (options: FollowTableOptions): Promise<void> => {
-	const {name, table, replica, readFromPeer, isBehindPeers, onChange, clock, random, log, signal, waitMs, pauseMs} = options;
+	const {name, table, replica, readFromPeer, isBehindPeers, onChange, clock, random, log, signal, waitMs, maximumRetryMs, pauseMs} = options;
 	let isConnected = false;
 	let needsFullRead = true;
 
@@ -104,7 +108,8 @@
 			return ok();
 		}
 
-		const result = await table.readChanges(version, waitMs());
+		// While the table does not answer, a read that waits for changes would hide its return for longer.
+		const result = await table.readChanges(version, isConnected ? waitMs() : 0);
 		if (result.isErr()) {
 			updateConnection(false, result.error.detail);
 			return err(result.error.detail);
@@ -141,11 +146,14 @@
 				continue;
 			}
 
-			const retryPauseMs = retryMs * (0.5 + random());
+			const tookMs = clock() - startedAtMs;
+			// Jitter prevents all instances from calling a recovered store at the same time.
+			const jitter = largestRetryJitter - random();
+			const retryPauseMs = Math.max((retryMs * jitter) - tookMs, minimumPauseMs * jitter);
 			log(discoveryEvents.readFailed, {
-				table: name, reason: result.error, tookMs: Math.round(clock() - startedAtMs), pauseMs: Math.round(retryPauseMs),
+				table: name, reason: result.error, tookMs: Math.round(tookMs), pauseMs: Math.round(retryPauseMs),
 			});
-			retryMs = Math.min(retryMs * 2, maximumRetryMs);
+			retryMs = Math.min(retryMs * 2, maximumRetryMs());
 			await waitUnlessAborted(retryPauseMs, signal); // eslint-disable-line no-await-in-loop
 		}
 	};
--- a/packages/discovery/src/readTimes.ts
+++ b/packages/discovery/src/readTimes.ts
@@ -20,15 +20,21 @@
 	readonly readerStoreWaitMs: number;
 	/** Time by which the answer of the store may be late before the read counts as failed. */
 	readonly answerMs: number;
+	/** Longest mean interval between the starts of two reads while reads fail. */
+	readonly maximumRetryMs: number;
 	/** Age above which a replica is stale. Its followers then read elsewhere. */
 	readonly staleAfterMs: number;
 };
 
-/** A read that hangs since just before the end of a disruption must have failed and been repeated within this part of `contactMs`. */
+/** A read that hangs since just before the end of a disruption must have failed, been repeated and been answered within this part of `contactMs`. */
 const contactFraction = 0.85;
 const answerFraction = 0.3;
 const minimumAnswerMs = 600;
 const maximumAnswerMs = 1500;
+/** The interval between failed reads varies by this factor at most, so that instances do not stay in step. */
+export const largestRetryJitter = 1.5;
+const minimumRetryMs = 100;
+const maximumRetryMs = 1000;
 /** Longer waits save few calls and delay the detection of connections that have gone silent. */
 const maximumStoreWaitMs = 2500;
 const minimumStoreWaitMs = 300;
@@ -53,6 +59,7 @@
 		storeWaitMs,
 		readerStoreWaitMs: Math.max(Math.min(storeWaitMs, staleAfterMs - refreshMarginMs), minimumStoreWaitMs),
 		answerMs,
+		maximumRetryMs: Math.min(Math.max(((contactMs * contactFraction) - answerMs) / largestRetryJitter, minimumRetryMs), maximumRetryMs),
 		staleAfterMs,
 	};
 };
--- a/packages/gateway/src/trafficState.ts
+++ b/packages/gateway/src/trafficState.ts
@@ -152,7 +152,7 @@
 		store, readers, readFromReader: readChangesFromReader(table), readAllFromReader: async ({peerAddress}) => readRowsFrom(peerAddress, table, -1), clock, times, isFirstStart,
 	});
 	const commonOptions = {
-		clock, random, log, signal, waitMs: readers.storeWaitMs,
+		clock, random, log, signal, waitMs: readers.storeWaitMs, maximumRetryMs: () => times().maximumRetryMs,
 	};
 	const followOperators = async () => followTable({
 		...commonOptions,
