--- a/packages/discovery/src/__tests__/silentOutage.test.ts
+++ b/packages/discovery/src/__tests__/silentOutage.test.ts
@@ -1,46 +1,43 @@
 /**
  * The store stops answering, without an error, and returns. Reads that were sent before its return are never answered.
  */
+import {setMaxListeners} from 'node:events';
 import {silentLogger} from '@filbertwell/logger/logger';
-import type {PlatformError} from '@filbertwell/platform/platformError';
 import {createRandom, type Random} from '@filbertwell/utils/random';
-import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {
 	afterEach, beforeEach, expect, test, vi,
 } from 'vitest';
 import {followTable} from '../followTable.js';
 import {readTimesOf, type UpdateBounds} from '../readTimes.js';
 import {createRowReplica, type RowReplica} from '../rowReplica.js';
-import type {VersionedRows, WatchedTable} from '../watchedTable.js';
+import type {WatchedTable} from '../watchedTable.js';
+import {
+	clock, createSilentStore, delay, roundTripMs,
+} from './silentStore.js';
 
 const smallBounds: UpdateBounds = {planMs: 2000, drainMs: 2000, contactMs: 3000};
-const roundTripMs = 30;
 const heartbeatMs = 50;
 const calmMs = 5000;
 const pauseMs = 20;
 
-let stopping = new AbortController();
+/** Each follower of a deployment listens to the signal. */
+const newAbortController = (): AbortController => {
+	const controller = new AbortController();
+	setMaxListeners(0, controller.signal);
+	return controller;
+};
+
+let stopping = newAbortController();
 
 // The fake timers replace only the global functions.
-vi.mock('node:timers/promises', async original => ({
-	...await original<Record<string, unknown>>(),
-	setTimeout: async (milliseconds: number, value: unknown, {signal}: {readonly signal: AbortSignal}) => new Promise((resolve, reject) => {
-		const timer = setTimeout(resolve, milliseconds, value);
-		const abort = () => {
-			clearTimeout(timer);
-			reject(new Error('aborted'));
-		};
-
-		signal.addEventListener('abort', abort);
-		if (signal.aborted) {
-			abort();
-		}
-	}),
-}));
+vi.mock('node:timers/promises', async original => {
+	const {setTimeoutPromise} = await import('./fakeTimersPromises.js');
+	return {...await original<Record<string, unknown>>(), setTimeout: setTimeoutPromise};
+});
 
 beforeEach(() => {
 	vi.useFakeTimers();
-	stopping = new AbortController();
+	stopping = newAbortController();
 });
 
 afterEach(() => {
@@ -48,67 +45,6 @@
 	vi.useRealTimers();
 });
 
-const clock = () => Date.now();
-
-const delay = async (milliseconds: number) => new Promise<void>(resolve => {
-	setTimeout(resolve, milliseconds);
-});
-
-/** A store that can fall silent. Calls that are sent or under way while it is silent are never answered. */
-const createSilentStore = ({answerMs}: {readonly answerMs: number}) => {
-	let version = 1;
-	let outages = 0;
-	let isSilent = false;
-	const waiters = new Set<() => void>();
-	const rows = () => ({version, rows: [{key: 'config', value: String(version)}]});
-
-	const unanswered = (): ResultAsync<never, PlatformError> => errAsync({kind: 'unavailable', operation: 'rows.feed', detail: 'no answer'});
-
-	const answer = (timeoutMs: number, wait: () => Promise<void>): ResultAsync<VersionedRows, PlatformError> => {
-		const outagesAtStart = outages;
-		const startedAtMs = clock();
-		const isLost = isSilent;
-		return okAsync<undefined, PlatformError>(undefined).map(async () => wait()).andThen(() => isLost || outages !== outagesAtStart
-			? new ResultAsync(delay(startedAtMs + timeoutMs - clock()).then(async () => unanswered())) // eslint-disable-line promise/prefer-await-to-then
-			: okAsync(rows()));
-	};
-
-	const table: WatchedTable = {
-		readAll: () => answer(answerMs, async () => delay(roundTripMs)),
-		readChanges: (after, waitMs) => answer(waitMs + answerMs, async () => {
-			await delay(roundTripMs / 2);
-			if (version <= after) {
-				await new Promise<void>(resolve => {
-					waiters.add(resolve);
-					setTimeout(resolve, waitMs);
-				});
-			}
-
-			await delay(roundTripMs / 2);
-		}),
-	};
-
-	return {
-		table,
-		write() {
-			version += 1;
-			for (const wake of waiters) {
-				wake();
-			}
-
-			waiters.clear();
-			return version;
-		},
-		silence() {
-			isSilent = true;
-			outages += 1;
-		},
-		restore() {
-			isSilent = false;
-		},
-	};
-};
-
 type Peers = {
 	readonly replicas: readonly RowReplica[];
 	readonly random: Random;
@@ -174,7 +110,7 @@
 	const newest = store.write();
 	await vi.advanceTimersByTimeAsync(bounds.contactMs);
 	stopping.abort();
-	stopping = new AbortController();
+	stopping = newAbortController();
 	return replicas.filter(replica => replica.version() === newest).length;
 };
 
