Gateway: a peer that does not answer delays the next one by the answer time of the store only

An instance that cannot read the store takes the plan from a peer. Each call to a peer could take 2 s, a constant, and the next call could go to a peer that had just not answered, so that two silent peers cost more than the 3 s of contact_s. Measured: the new case of trafficState.test.ts has no plan after 3 s before, and has it after.

--- a/packages/gateway/src/__tests__/trafficState.test.ts
+++ b/packages/gateway/src/__tests__/trafficState.test.ts
@@ -3,6 +3,7 @@
  */
 import type {VersionedRows, WatchedTable} from '@filbertwell/discovery/watchedTable';
 import type {PlatformError} from '@filbertwell/platform/platformError';
+import type {MethodName} from '@filbertwell/peer-protocol/methods';
 import type {Member} from '@filbertwell/types/member';
 import type {TrafficPlan} from '@filbertwell/types/trafficPlan';
 import {monotonicClock as clock} from '@filbertwell/utils/clock';
@@ -94,3 +95,42 @@
 	expect(reads()).toBe(0);
 	expect(state.plan()).toBeUndefined();
 });
+
+/** An instance kept using an old plan, because calls to peers that did not answer took two seconds each. */
+test('a plan is taken from a peer in time although the store and two of the three peers do not answer', async () => {
+	const defaultTimeoutMs = 2000;
+	const contactMs = 3000;
+	const peers = [1, 2, 3].map((index): Member => ({
+		...self, id: `gateway-${index}`, peerAddress: {host: '127.0.0.1', port: 10 + index}, configurationVersion: 3,
+	}));
+	const call = async (to: {readonly port: number}, method: MethodName, parameters: unknown, timeoutMs = defaultTimeoutMs) => {
+		const isAnswered = to.port === 13;
+		await new Promise(resolve => {
+			setTimeout(resolve, isAnswered ? 20 : timeoutMs);
+		});
+		return isAnswered ? ok({reading: {version: 5, rows: [{key: 'plan', value: 'plan'}]}, ageMs: 10}) : err({kind: 'unreachable', detail: 'no answer'});
+	};
+
+	const neverAnswered = () => errAsync(unavailable);
+	const table: WatchedTable = {readAll: neverAnswered, readChanges: neverAnswered};
+	const adapter: Partial<GatewayAdapter> = {
+		operators: table, registrations: table, decodeOperatorRow: () => ok({kind: 'plan', plan}), decodeEndpoint: () => err('not an endpoint'),
+	};
+	const options: Partial<TrafficStateOptions> = {
+		adapter: adapter as GatewayAdapter,
+		membership: {self: () => self, members: () => [self, ...peers], listed: NEVER} as unknown as TrafficStateOptions['membership'],
+		channel: {handle: () => undefined, call} as unknown as TrafficStateOptions['channel'],
+		clock,
+		random: () => 0,
+		signal: stopping.signal,
+		bounds: () => ({planMs: 2000, drainMs: 2000, contactMs}),
+		regionOfZone: () => new Map(),
+		isFirstStart: false,
+		onChange: () => undefined,
+	};
+	const state = followTraffic(options as TrafficStateOptions);
+	await new Promise(resolve => {
+		setTimeout(resolve, contactMs);
+	});
+	expect(state.plan()?.version).toBe(3);
+});
--- a/packages/gateway/src/trafficState.ts
+++ b/packages/gateway/src/trafficState.ts
@@ -91,17 +91,26 @@
 		return membership.members().some(({configurationVersion, health}) => health === 'alive' && configurationVersion > version);
 	};
 
-	/** Chooses the peer with the newest plan for the operators' rows, and any peer for the registrations. */
+	/** Ids of peers that did not answer the latest call. */
+	const unresponsive = new Set<string>();
+
+	/** Chooses a peer with the newest plan for the operators' rows, and any peer for the registrations; one that answers if possible. */
 	const choosePeer = (table: TableName): Member | undefined => {
 		const self = membership.self();
 		const peers = membership.members().filter(({id, health}) => id !== self.id && health === 'alive');
 		const newest = Math.max(...peers.map(({configurationVersion}) => configurationVersion));
 		const eligible = table === 'operators' ? peers.filter(({configurationVersion}) => configurationVersion === newest) : peers;
-		return eligible[Math.floor(random() * eligible.length)];
+		const responsive = eligible.filter(({id}) => !unresponsive.has(id));
+		if (responsive.length === 0) {
+			unresponsive.clear();
+		}
+
+		const candidates = responsive.length === 0 ? eligible : responsive;
+		return candidates[Math.floor(random() * candidates.length)];
 	};
 
-	const readRowsFrom = async (address: SocketAddress, table: TableName, newerThan: number): Promise<Result<SharedChanges, string>> => {
-		const response = await channel.call(address, 'discovery.rows', {table, newerThan});
+	const readRowsFrom = async (address: SocketAddress, table: TableName, newerThan: number, timeoutMs?: number): Promise<Result<SharedChanges, string>> => {
+		const response = await channel.call(address, 'discovery.rows', {table, newerThan}, timeoutMs);
 		return response
 			.map(({reading, ageMs = Number.POSITIVE_INFINITY}) => ({reading, ageMs}))
 			.mapErr(({detail}) => detail);
@@ -114,8 +123,9 @@
 		}
 
 		const startedAtMs = clock();
-		const response = await readRowsFrom(peer.peerAddress, table, replicas[table].version() ?? -1);
+		const response = await readRowsFrom(peer.peerAddress, table, replicas[table].version() ?? -1, times().answerMs);
 		if (response.isErr()) {
+			unresponsive.add(peer.id);
 			log(discoveryEvents.peerReadFailed, {
 				table, peer: peer.id, reason: response.error, tookMs: Math.round(clock() - startedAtMs),
 			});
--- a/packages/peer-protocol/src/rpcClient.ts
+++ b/packages/peer-protocol/src/rpcClient.ts
@@ -16,11 +16,12 @@
 import {rpcPath} from './rpcServer.js';
 import type {TrafficCounter} from './traffic.js';
 
-/** Calls a method of a peer; resolves with an error instead of rejecting. */
+/** Calls a method of a peer, which answers within `timeoutMs`, by default 2 s; resolves with an error instead of rejecting. */
 export type PeerCall = <Name extends MethodName>(
 	to: SocketAddress,
 	method: Name,
 	parameters: MethodParameters<Name>,
+	timeoutMs?: number,
 ) => Promise<Result<MethodResult<Name>, PeerError>>;
 
 /** JSON-RPC client for calls between peers. */
@@ -29,7 +30,7 @@
 	readonly close: () => void;
 };
 
-const callTimeoutMs = 2000;
+const defaultTimeoutMs = 2000;
 const maximumAnswerBytes = 33_554_432;
 const maximumSocketsPerPeer = 4;
 const idleSocketTimeoutMs = 10_000;
@@ -90,9 +91,9 @@
 		}
 	};
 
-	const abortAfterTimeout = async (timeout: AbortController, finished: AbortSignal) => {
+	const abortAfterTimeout = async (timeoutMs: number, timeout: AbortController, finished: AbortSignal) => {
 		try {
-			await delay(callTimeoutMs, undefined, {signal: finished});
+			await delay(timeoutMs, undefined, {signal: finished});
 			timeout.abort();
 		} catch {
 			// The exchange finished before the timeout.
@@ -100,12 +101,12 @@
 	};
 
 	return {
-		async call(to, method, parameters) {
+		async call(to, method, parameters, timeoutMs = defaultTimeoutMs) {
 			lastId += 1;
 			const body = Buffer.from(JSON.stringify(createJSONRPCRequest(lastId, method, parameters)));
 			const timeout = new AbortController();
 			const finished = new AbortController();
-			void abortAfterTimeout(timeout, finished.signal);
+			void abortAfterTimeout(timeoutMs, timeout, finished.signal);
 			traffic.countRpcOut(body.length);
 			const answer = await exchange(to, body, timeout.signal);
 			finished.abort();
