--- a/packages/discovery/src/endpointDirectory.ts
+++ b/packages/discovery/src/endpointDirectory.ts
@@ -63,6 +63,9 @@
 	const isOlder = (endpoint: DiscoveredEndpoint, current: DiscoveredEndpoint): boolean => endpoint.startedAtUnixMs < current.startedAtUnixMs
 		|| (endpoint.startedAtUnixMs === current.startedAtUnixMs && endpoint.sequence < current.sequence);
 
+	/** Whether the endpoint says that it leaves. That holds for its start also if another writer set a higher sequence. */
+	const isLeaving = (endpoint: DiscoveredEndpoint, current: DiscoveredEndpoint): boolean => endpoint.startedAtUnixMs === current.startedAtUnixMs && endpoint.state === 'draining';
+
 	const register = (key: string, value: string) => {
 		const decoded = decode(key, value);
 		if (decoded.isErr()) {
@@ -70,8 +73,9 @@
 			return;
 		}
 
-		const endpoint = decoded.value;
-		const current = registered.get(endpoint.id);
+		const current = registered.get(decoded.value.id);
+		const sequence = current === undefined || !isLeaving(decoded.value, current.endpoint) ? decoded.value.sequence : Math.max(decoded.value.sequence, current.endpoint.sequence);
+		const endpoint = {...decoded.value, sequence};
 		if (current !== undefined && isOlder(endpoint, current.endpoint)) {
 			log(discoveryEvents.registrationRejected, {key, reason: `the registration is older than the current one (sequence ${endpoint.sequence} after ${current.endpoint.sequence})`});
 			return;
