Gateway, entry: tests of heads that end at any byte

Report of other operators: an endpoint stopped in the middle of its answer's head and closed, and callers got a 200 framed as whole. No change of the code.

--- a/packages/entry/src/__tests__/upstreamClient.test.ts
+++ b/packages/entry/src/__tests__/upstreamClient.test.ts
@@ -169,3 +169,22 @@
 		}, {timeout: timeoutMs});
 	});
 });
+
+/** Callers got a 200 with an empty or short body, framed as whole. */
+test.each([
+	['a length', 'Content-Length: 10\r\n'],
+	['chunks', 'Transfer-Encoding: chunked\r\n'],
+	['neither length nor chunks', ''],
+])('a head with %s that ends at any byte is no answer', async (_, lengthHeader) => {
+	const head = `HTTP/1.1 200 OK\r\n${requestIdHeader}: a\r\n${lengthHeader}X-More: 1\r\n\r\n`;
+	let length = 0;
+	const {send} = await start(socket => {
+		socket.end(head.slice(0, length));
+	});
+	const outcomes = new Set<string>();
+	for (length = 0; length < head.length; length += 1) {
+		outcomes.add(await send('a')); // eslint-disable-line no-await-in-loop
+	}
+
+	expect([...outcomes]).toEqual(['failed']);
+});
