Gateway: a stopping instance takes only requests that it can answer before it exits

Once new connections are no longer accepted, a request whose time limit passes the end of the grace is now rejected at once as not run, with Retry-After. Measured: plannedStop.test.ts; with the check switched off, the late at-most-once request reaches the endpoint.

--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -140,12 +140,13 @@
 };
 
 export const startGatewayFixture = async (endpoints: readonly RawEndpoint[], {
-	route = {}, extraRetries = 100, isShuttingDown = () => false, hasPlan = true, isPlanOutdated = () => false,
+	route = {}, extraRetries = 100, isShuttingDown = () => false, takesRequest = () => true, hasPlan = true, isPlanOutdated = () => false,
 }: {
 	readonly route?: Partial<PlannedRoute>;
 	/** Retry budget in addition to the ratio, which is 0. */
 	readonly extraRetries?: number;
 	readonly isShuttingDown?: () => boolean;
+	readonly takesRequest?: (timeoutMs: number) => boolean;
 	readonly hasPlan?: boolean;
 	readonly isPlanOutdated?: () => boolean;
 } = {}): Promise<GatewayFixture> => {
@@ -185,6 +186,7 @@
 			clock, random, dispatcher, client: createEndpointClient(connectionPool, testHeaders), retryBudgetOf: () => retryBudget, log: silentLogger,
 		}),
 		isShuttingDown,
+		takesRequest,
 		onRequestEnded: () => undefined,
 		log(event) {
 			logged.push(event.name);
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -40,6 +40,8 @@
 	readonly forward: ForwardRequest;
 	/** Whether the gateway is shutting down; each connection is then closed after its last response. */
 	readonly isShuttingDown: () => boolean;
+	/** Whether a request that may last for some milliseconds is taken. Others are rejected as not run, because the process exits before. */
+	readonly takesRequest: (timeoutMs: number) => boolean;
 	/** Called for each request with the route name (`none` without a match), the duration and the status (`gone` without a response). */
 	readonly onRequestEnded: (route: string, milliseconds: number, outcome: string) => void;
 	readonly log: Logger;
@@ -63,6 +65,9 @@
 /** Retry delay while the plan is missing or outdated: enough time to read it from the store or from a peer. */
 const outdatedPlanRetryAfterSeconds = 0.5;
 
+/** Retry delay while this instance stops: another one can take the request at once. */
+const stoppingRetryAfterSeconds = 0.1;
+
 /**
  * Starts the server.
  *
@@ -70,7 +75,7 @@
  * @returns The server once it is listening; rejects if it can't listen on the address.
  */
 export const startCallerServer = async (options: CallerServerOptions): Promise<CallerServer> => {
-	const {address, clock, headers, plan, planAgeMs, isPlanOutdated, forward, isShuttingDown, onRequestEnded, log} = options;
+	const {address, clock, headers, plan, planAgeMs, isPlanOutdated, forward, isShuttingDown, takesRequest, onRequestEnded, log} = options;
 	const connections = createCallerConnections(clock);
 	const chooseService = createServiceSplit();
 	const omittedRequestHeaders = new Set([headers.deadline, headers.expectedEndpoint, 'content-length']);
@@ -122,6 +127,11 @@
 			return bodyResult.kind === 'gone' ? {kind: 'gone'} : reject(request, 413, `the body is over ${currentPlan.limits.maximumBodyBytes} bytes`, {closesConnection: true});
 		}
 
+		const timeoutMs = callerTimeoutMs(request, headers);
+		if (!takesRequest(Math.min(route.timeoutMs, timeoutMs ?? route.timeoutMs))) {
+			return {...reject(request, 503, 'this instance stops too soon to answer; the request did not run', {retryAfterSeconds: stoppingRetryAfterSeconds}), route: route.name};
+		}
+
 		const {body} = bodyResult;
 		const forwardedHeaders = endToEndHeaders(request.rawHeaders, omittedRequestHeaders);
 		if (body.length > 0 || request.headers['content-length'] !== undefined) {
@@ -136,7 +146,7 @@
 				method: request.method ?? 'GET', path: request.url ?? '/', headers: forwardedHeaders, body, requestId: requestIdOf(request),
 			},
 			arrivedAtMs,
-			callerTimeoutMs: callerTimeoutMs(request, headers),
+			callerTimeoutMs: timeoutMs,
 			callerDisconnected: openRequest.callerDisconnected,
 		});
 		return {...result, route: route.name};
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -22,6 +22,7 @@
 import type {GatewayAdapter} from './gatewayAdapter.js';
 import {createNearbyInstanceSelector} from './nearbyInstances.js';
 import {jsonResponse, startAuxiliaryServer} from './auxiliaryServer.js';
+import {createStopWindow} from './stopWindow.js';
 import {followTraffic} from './trafficState.js';
 
 /** Handle of a running gateway. */
@@ -50,10 +51,6 @@
 const maximumLookupAddresses = 16;
 /** How long callers may use a look-up response; short, so that they soon stop using an instance that shuts down. */
 const lookupLifetimeMs = 2000;
-/** How long new connections are still accepted after the stop request, until callers' look-up responses have expired. */
-const listenAfterStopMs = 2500;
-/** Margin before the end of the grace period at which the process stops waiting for open requests. */
-const graceMarginMs = 250;
 const shutdownPollMs = 50;
 /** Interval at which the list of instances is read from the store; between reads, gossip spreads changes. */
 const listIntervalMs = 5000;
@@ -83,7 +80,7 @@
 	const bounds = () => deploymentBounds(settings());
 	const recentRequests = createSlidingWindowCounter(clock, requestRateWindowMs);
 	const isFirstStart = settings().process.bootstrap === 'true';
-	let isShuttingDown = false;
+	const stopWindow = createStopWindow(clock, () => bounds().graceMs);
 
 	const channel = await createPeerChannel({address: peers, log: createLogger('peers')});
 	const membership = createMembership({
@@ -165,7 +162,8 @@
 			recentRequests.record();
 			return forward(request);
 		},
-		isShuttingDown: () => isShuttingDown,
+		isShuttingDown: stopWindow.hasBegun,
+		takesRequest: stopWindow.takesRequest,
 		onRequestEnded(route, milliseconds, outcome) {
 			metrics.recordLatency({service: route, requestClass: 'all', tenant: 'all'}, milliseconds);
 			metrics.increment('requests_total', {route, outcome});
@@ -174,7 +172,7 @@
 	});
 
 	const selectInstances = createNearbyInstanceSelector({clock, maximum: maximumLookupAddresses});
-	const isReady = () => !isShuttingDown && trafficState.plan() !== undefined;
+	const isReady = () => !stopWindow.hasBegun() && trafficState.plan() !== undefined;
 	const notFound = {status: 404, contentType: 'text/plain', body: 'not found\n'};
 	await startAuxiliaryServer(listen.ready, path => path === adapter.readyPath
 		? {status: isReady() ? 200 : 503, contentType: 'text/plain', body: isReady() ? 'ready\n' : 'not ready\n'}
@@ -220,10 +218,9 @@
 	log(processEvents.started, {id: self.id, callers: `${listen.callers.host}:${listen.callers.port}`});
 
 	const drainRequests = async () => {
-		const startedAtMs = clock();
-		await waitUnlessAborted(Math.min(listenAfterStopMs, bounds().graceMs / 2), signal);
+		await waitUnlessAborted(stopWindow.acceptanceMs(), signal);
 		await callerServer.stopListening();
-		while ((callerServer.openRequestCount() > 0 || callerServer.isRequestExpected()) && clock() - startedAtMs < bounds().graceMs - graceMarginMs) {
+		while ((callerServer.openRequestCount() > 0 || callerServer.isRequestExpected()) && stopWindow.remainingMs() > 0) {
 			callerServer.closeIdle();
 			await waitUnlessAborted(shutdownPollMs, signal); // eslint-disable-line no-await-in-loop
 		}
@@ -233,11 +230,11 @@
 
 	return {
 		async stop() {
-			if (isShuttingDown) {
+			if (stopWindow.hasBegun()) {
 				return;
 			}
 
-			isShuttingDown = true;
+			stopWindow.begin();
 			log(processEvents.stopping, {id: self.id});
 			membership.announceState('leaving');
 			registration.setState('leaving');
