Entry: a request behind the last response of its connection is not passed on

While an entry left, the response to the first of several pipelined requests closed the connection, but the requests behind it were passed on and their answers were lost. A request on a connection that is about to close is now left unread with a log line, so that its caller sends it elsewhere. Measured: plannedStop.test.ts of the entry, two cases, both failed before.

--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -5,7 +5,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {setTimeout as delay} from 'node:timers/promises';
 import {entryEvents} from '@filbertwell/logger/events/entryEvents';
@@ -116,6 +116,8 @@
 	let cachedIndex: {readonly configuration: Configuration; readonly index: ServiceIndex} | undefined;
 	let inProgress = 0;
 	let isClosing = false;
+	/** Connections that close after the response to a request that has arrived. */
+	const closingSockets = new WeakSet<Socket>();
 
 	const serviceIndexFor = (configuration: Configuration): ServiceIndex => {
 		if (cachedIndex?.configuration !== configuration) {
@@ -152,6 +154,7 @@
 		const configuration = currentConfiguration();
 		if (isClosing || !isServing()) {
 			response.shouldKeepAlive = false;
+			closingSockets.add(request.socket);
 		}
 
 		if (configuration === undefined) {
@@ -178,6 +181,12 @@
 	};
 
 	const serve = (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void => {
+		if (closingSockets.has(request.socket)) {
+			// Its response could not be sent any more. The caller sends it again on another connection.
+			log(entryEvents.requestNotTaken, {path: request.url});
+			return;
+		}
+
 		inProgress += 1;
 		response.once('close', () => {
 			inProgress -= 1;
