Gateway: a request behind the last response of a connection does not cut off this response

During a planned stop, a pipelined request that arrived while the last response of its connection was still being written reset the connection, and the caller lost the rest. The connection now closes when the open response is complete; it is reset only without one.

--- a/packages/gateway/src/__tests__/largeResponse.test.ts
+++ b/packages/gateway/src/__tests__/largeResponse.test.ts
@@ -1,6 +1,7 @@
 /**
  * Responses that are far larger than the memory that a gateway may use for one of them.
  */
+import {once} from 'node:events';
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {request as sendRequest} from 'node:http';
@@ -147,9 +148,9 @@
 			socket.write(`GET /large HTTP/1.1\r\nHost: shop.example\r\nX-Id: slow-${index}\r\n\r\n`);
 			return socket;
 		});
-		await vi.waitFor(() => {
-			expect(receivedCount(endpoints)).toBe(6);
-		});
+		// Until then all slots of the endpoint are taken, and further requests are refused as not run.
+		await Promise.all(slowCallers.map(async socket => once(socket, 'readable')));
+		expect(receivedCount(endpoints)).toBe(6);
 		for (let index = 0; index < 20; index++) {
 			expect(await call(gateway.port)).toMatchObject({status: 200, body: 'fine'}); // eslint-disable-line no-await-in-loop
 		}
--- a/packages/gateway/src/__tests__/plannedStop.test.ts
+++ b/packages/gateway/src/__tests__/plannedStop.test.ts
@@ -40,7 +40,7 @@
 
 /** Requests that came late in the grace were passed on and cut off at its end, among them ones that may not be repeated. */
 test('a request behind an open one is rejected as not run if the process may exit before its answer', async () => {
-	const {clock, stop, answers, socket, received, arrivedIds} = await start();
+	const {clock, stop, answers, gateway, socket, received, arrivedIds} = await start();
 	const ended = once(socket, 'end');
 	socket.write(requestText('first', 5000));
 	await vi.waitFor(() => {
@@ -53,11 +53,38 @@
 		setTimeout(resolve, 100);
 	});
 	answers[0]!();
+	await vi.waitFor(() => {
+		expect(received.text).toContain('HTTP/1.1 503');
+	});
+	gateway.server.closeIdle();
 	await ended;
 	expect(arrivedIds()).toEqual(['first']);
 	expect(received.text).toMatch(/^HTTP\/1\.1 200 OK[^]*for first[^]*HTTP\/1\.1 503 [^]*retry-after: 0\.1/iu);
 });
 
+/** A pipelined request cut off the response before it, of which a part had not been written yet. */
+test('a request behind the last response of a connection does not cut off this response', async () => {
+	const bytes = 4_000_000;
+	const {gateway, endpoints} = await startGateway([(socket, request) => {
+		socket.write(formatResponse(request, 'x'.repeat(bytes)));
+	}], {isShuttingDown: () => true});
+	const socket = connect(gateway.port, '127.0.0.1');
+	let receivedBytes = 0;
+	const ended = once(socket, 'close');
+	socket.write(requestText('large', 5000));
+	await once(socket, 'readable');
+	socket.write(requestText('behind', 5000));
+	await new Promise(resolve => {
+		setTimeout(resolve, 100);
+	});
+	socket.on('data', chunk => {
+		receivedBytes += chunk.length;
+	});
+	await ended;
+	expect(receivedBytes).toBeGreaterThan(bytes);
+	expect(endpoints[0]!.received.map(({id}) => id)).toEqual(['large']);
+});
+
 test('a request that is answered in time at any rate is taken', async () => {
 	const {clock, stop, answers, socket, received, arrivedIds} = await start();
 	const ended = once(socket, 'end');
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -186,9 +186,12 @@
 		const openRequest = connections.beginRequest(request.socket);
 		if (openRequest === undefined) {
 			// The request arrived while the connection was closing. The caller sees a closed connection without a response
-			// and can send the request to another instance.
+			// and can send the request to another instance. An open response closes the connection when it is complete.
 			log(gatewayEvents.requestNotRead, {request: requestIdOf(request)});
-			request.socket.destroy();
+			if (!connections.hasOpenRequest(request.socket)) {
+				request.socket.destroy();
+			}
+
 			return;
 		}
 
