--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -135,16 +135,25 @@
 
 	/** Endpoint that runs each request, by request id. */
 	const ranAt = new Map();
+	/** Number of runs by request id. */
+	const runs = new Map();
+	/** Arrivals of requests at endpoints, with their time. */
+	const arrivals = [];
 	const record = (event, fields) => {
 		if (event === 'run') {
 			ranAt.set(fields.request, fields.endpoint);
+			runs.set(fields.request, (runs.get(fields.request) ?? 0) + 1);
+		} else if (event === 'arrival') {
+			arrivals.push({...fields, atMs: performance.now()});
 		}
 
 		lines.push(`${((performance.now() - startedAtMs) / 1000).toFixed(3)} ${event} ${JSON.stringify(fields)}\n`);
 	};
 
 	const folder = mkdtempSync(path.join(os.tmpdir(), 'filbertwell-review-'));
-	const deployment = {...createDeployment(record, folder), ranAt};
+	const deployment = {
+		...createDeployment(record, folder), ranAt, runs, arrivals,
+	};
 	const end = (code, summary) => {
 		record('end', {code, trouble: hasTrouble, ...summary});
 		console.log(JSON.stringify({
--- a/review/standins/endpoints.mjs
+++ b/review/standins/endpoints.mjs
@@ -21,8 +21,9 @@
  * `respond(request, response, {body, headers})` returns true if it has answered.
  * @returns The running endpoint.
  */
-export const startEndpoint = async ({store, record, id, service, zone, host, slots, workMs, respond}) => {
+export const startEndpoint = async ({store, record, id, service, zone, host, slots, workMs, coldS = 0, respond}) => {
 	const born = Date.now();
+	const startedAtMs = performance.now();
 	const sockets = new Set();
 	let sequence = 0;
 	let running = 0;
@@ -112,7 +113,7 @@
 	const registration = state => {
 		sequence += 1;
 		return {
-			service, address, zone, version: 'v1', slots, state, cold_remaining_s: 0, sequence, born,
+			service, address, zone, version: 'v1', slots, state, cold_remaining_s: Math.max(0, coldS - ((performance.now() - startedAtMs) / 1000)), sequence, born,
 		};
 	};
 
