--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -119,7 +119,7 @@
 	};
 
 	const handle = async (request, signal) => {
-		const url = new URL(request.url, 'http://store');
+		const url = new URL(request.url, 'http://127.0.0.1');
 		switch (`${request.method} ${url.pathname}`) {
 			case 'POST /rows-tx': {
 				return transact(JSON.parse(await readText(request)));
