--- a/packages/entry/src/__tests__/testEntry.ts
+++ b/packages/entry/src/__tests__/testEntry.ts
@@ -164,7 +164,7 @@
 };
 
 /** Starts an entry's request path. */
-export const startEntry = async (cleanup: Cleanup, services: readonly Service[], settings: Partial<CallerServerSettings> = {}) => {
+export const startEntry = async (cleanup: Cleanup, services: readonly Service[], settings: Partial<CallerServerSettings> = {}, orders: Orders = createMemoryOrders()) => {
 	const configuration = configurationWith(services);
 	const upstreams = createUpstreamClient();
 	const metrics = {increment: () => undefined, recordLatency: () => undefined};
@@ -184,7 +184,7 @@
 		clock: monotonicClock,
 		router,
 		upstreams,
-		orders: createMemoryOrders(),
+		orders,
 		lookup: service => service === 'inventory'
 			? ok({
 				service, block: undefined, addresses: [], lifetimeSeconds: 5, configurationVersion: 1,
