Gateway: a close that was received before the write keeps the request from the endpoint

Callers that had left saw work go on for them: requests reached endpoints seconds after their connections had been closed, on instances short of processor time.

Cause: the event loop reads the request in one poll and the close behind it in the next one, and forwarded the request in between. The same held for a resend after a failure and for a connection to an endpoint that had just been opened: the close lay in the operating system, unread. Besides, the server acted on 'close' of the socket, which follows the end of input some turns later.

The end or the reset of the input counts at once. A new connection that the endpoint has reset or ended before the write is unreachable, so nothing was sent.

--- a/packages/gateway/src/__tests__/gatewayFixture.ts
+++ b/packages/gateway/src/__tests__/gatewayFixture.ts
@@ -12,6 +12,7 @@
 import type {DiscoveredEndpoint} from '@filbertwell/types/discoveredEndpoint';
 import type {PlannedRoute, TrafficPlan} from '@filbertwell/types/trafficPlan';
 import {monotonicClock as clock} from '@filbertwell/utils/clock';
+import {afterNextPoll} from '@filbertwell/utils/pollBarrier';
 import {createRandom} from '@filbertwell/utils/random';
 import {startCallerServer, type CallerServer} from '../callerServer.js';
 import {createEndpointClient} from '../endpointClient.js';
@@ -183,7 +184,7 @@
 		planAgeMs: () => 0,
 		isPlanOutdated,
 		forward: createForwardRequest({
-			clock, random, dispatcher, client: createEndpointClient(connectionPool, testHeaders), retryBudgetOf: () => retryBudget, log: silentLogger,
+			clock, random, dispatcher, client: createEndpointClient(connectionPool, testHeaders, afterNextPoll), retryBudgetOf: () => retryBudget, afterNextPoll, log: silentLogger,
 		}),
 		isShuttingDown,
 		takesRequest,
--- a/packages/gateway/src/__tests__/goneCallers.test.ts
+++ b/packages/gateway/src/__tests__/goneCallers.test.ts
@@ -9,6 +9,7 @@
 import {silentLogger} from '@filbertwell/logger/logger';
 import type {RouteKind} from '@filbertwell/types/intent';
 import {monotonicClock as clock} from '@filbertwell/utils/clock';
+import {afterNextPoll} from '@filbertwell/utils/pollBarrier';
 import {
 	afterEach, describe, expect, test, vi,
 } from 'vitest';
@@ -129,7 +130,7 @@
 			closeEndpoint: () => undefined,
 			closeIdle: () => undefined,
 			close: () => undefined,
-		}, testHeaders);
+		}, testHeaders, afterNextPoll);
 		const result = forwardTo(kind, caller.signal, {
 			send: async options => client.send({
 				...options, onWrite() {
@@ -166,7 +167,7 @@
 };
 
 const forwardTo = async (kind: RouteKind, callerDisconnected: AbortSignal, client: Parameters<typeof createForwardRequest>[0]['client']) => createForwardRequest({
-	clock, random: () => 0.5, dispatcher, client, retryBudgetOf: () => ({recordRequest: doNothing, tryTake: () => true}), log: silentLogger,
+	clock, random: () => 0.5, dispatcher, client, retryBudgetOf: () => ({recordRequest: doNothing, tryTake: () => true}), afterNextPoll, log: silentLogger,
 })({
 	route: {...testRoute, kind},
 	service: 'orders',
--- a/packages/gateway/src/__tests__/requestTimeout.test.ts
+++ b/packages/gateway/src/__tests__/requestTimeout.test.ts
@@ -2,6 +2,7 @@
 import {silentLogger} from '@filbertwell/logger/logger';
 import type {RouteKind} from '@filbertwell/types/intent';
 import {monotonicClock as clock} from '@filbertwell/utils/clock';
+import {afterNextPoll} from '@filbertwell/utils/pollBarrier';
 import {describe, expect, test} from 'vitest';
 import type {EndpointClient, SendOptions, SendOutcome} from '../endpointClient.js';
 import {createForwardRequest} from '../forwardRequest.js';
@@ -36,6 +37,7 @@
 	dispatcher,
 	client: {send},
 	retryBudgetOf: () => ({recordRequest: doNothing, tryTake: () => true}),
+	afterNextPoll,
 	log: silentLogger,
 })({
 	route: {
--- a/packages/gateway/src/callerConnections.ts
+++ b/packages/gateway/src/callerConnections.ts
@@ -6,7 +6,7 @@
 
 /** A request on a caller connection that has not been answered yet. */
 export type OpenRequest = {
-	/** Aborted when the connection closes. */
+	/** Aborted when the caller ends or resets the connection, or when it closes. */
 	readonly callerDisconnected: AbortSignal;
 	/** Whether no other request of the connection is open. Otherwise the connection must stay open after this response. */
 	readonly isOnlyRequest: () => boolean;
@@ -54,11 +54,18 @@
 		add(socket) {
 			const requests = new Set<AbortController>();
 			connections.set(socket, {requests, expectedUntilMs: clock() + firstRequestMs});
-			socket.once('close', () => {
-				connections.delete(socket);
+			const abortRequests = () => {
 				for (const controller of requests) {
 					controller.abort();
 				}
+			};
+
+			// `close` follows some turns of the event loop after the caller's end or reset has been read.
+			socket.once('end', abortRequests);
+			socket.once('error', abortRequests);
+			socket.once('close', () => {
+				connections.delete(socket);
+				abortRequests();
 			});
 		},
 		beginRequest(socket) {
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -2,6 +2,7 @@
  * Sends requests to endpoints over pooled connections.
  */
 import type {DiscoveredEndpoint, EndpointLoad} from '@filbertwell/types/discoveredEndpoint';
+import type {AfterNextPoll} from '@filbertwell/utils/pollBarrier';
 import {exchangeOnSocket} from './endpointExchange.js';
 import type {EndpointConnectionPool} from './endpointConnectionPool.js';
 import type {GatewayHeaders} from './gatewayHeaders.js';
@@ -71,9 +72,10 @@
  *
  * @param pool - Pool that provides the connections.
  * @param headers - Header names of the deployment.
+ * @param afterNextPoll - Waits until what was received before the call has been read.
  * @returns The client; it doesn't close the pool.
  */
-export const createEndpointClient = (pool: EndpointConnectionPool, headers: GatewayHeaders): EndpointClient => {
+export const createEndpointClient = (pool: EndpointConnectionPool, headers: GatewayHeaders, afterNextPoll: AfterNextPoll): EndpointClient => {
 	const classifier = createResponseClassifier(headers);
 	const readBody = createResponseBodyReader();
 
@@ -88,22 +90,32 @@
 				};
 			}
 
-			if (acquired.connectMs !== undefined) {
-				onConnected(acquired.connectMs);
+			const {socket, connectMs} = acquired;
+			if (connectMs !== undefined) {
+				onConnected(connectMs);
+				// The caller may have left while the connection was being opened.
+				await afterNextPoll();
 			}
 
 			if (signal.aborted) {
-				pool.release(endpoint, acquired.socket, undefined);
+				pool.release(endpoint, socket, undefined);
 				return {kind: 'cancelled', isSent: false};
 			}
 
+			if (connectMs !== undefined && (!socket.writable || socket.readableEnded || socket.readableLength > 0)) {
+				socket.destroy();
+				return {
+					kind: 'not-run', cause: 'unreachable', reason: 'the new connection was not usable', load: undefined,
+				};
+			}
+
 			onWrite();
-			return exchangeOnSocket(acquired.socket, options, {
+			return exchangeOnSocket(socket, options, {
 				headers,
 				classifier,
 				readBody,
-				onReusable(socket, keepAliveMs) {
-					pool.release(endpoint, socket, keepAliveMs);
+				onReusable(reusableSocket, keepAliveMs) {
+					pool.release(endpoint, reusableSocket, keepAliveMs);
 				},
 			});
 		},
--- a/packages/gateway/src/forwardRequest.ts
+++ b/packages/gateway/src/forwardRequest.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '@filbertwell/logger/logger';
 import type {PlannedRoute} from '@filbertwell/types/trafficPlan';
 import type {Clock} from '@filbertwell/utils/clock';
+import type {AfterNextPoll} from '@filbertwell/utils/pollBarrier';
 import type {Random} from '@filbertwell/utils/random';
 import type {GatewayResponse} from './callerResponse.js';
 import type {
@@ -52,6 +53,7 @@
 	readonly client: EndpointClient;
 	/** Retry budget of a service. */
 	readonly retryBudgetOf: (service: string) => RetryBudget;
+	readonly afterNextPoll: AfterNextPoll;
 	readonly log: Logger;
 };
 
@@ -86,7 +88,7 @@
  * @returns Forwards one request to its final result.
  */
 export const createForwardRequest = (options: ForwardOptions): ForwardRequest => {
-	const {clock, random, dispatcher, client, retryBudgetOf, log} = options;
+	const {clock, random, dispatcher, client, retryBudgetOf, afterNextPoll, log} = options;
 
 	const failureResult = (forwarded: ForwardedRequest, progress: SendProgress, reason: string, expectedWaitMs: number): ForwardResult => {
 		const {route, service, request, arrivedAtMs} = forwarded;
@@ -174,6 +176,8 @@
 		};
 		let lastOutcome: SendOutcome | undefined;
 		for (;;) {
+			// The close of the caller's connection may have been received with the request or with the last outcome.
+			await afterNextPoll(); // eslint-disable-line no-await-in-loop
 			if (forwarded.callerDisconnected.aborted) {
 				return {kind: 'gone'};
 			}
--- a/packages/gateway/src/gatewayRuntime.ts
+++ b/packages/gateway/src/gatewayRuntime.ts
@@ -14,6 +14,7 @@
 import {deploymentBounds, processorCores, type GatewaySettings} from '@filbertwell/settings/gatewaySettings';
 import {monotonicClock as clock} from '@filbertwell/utils/clock';
 import {runPeriodically, waitUnlessAborted} from '@filbertwell/utils/periodic';
+import {afterNextPoll} from '@filbertwell/utils/pollBarrier';
 import {createRandom} from '@filbertwell/utils/random';
 import {startCallerServer} from './callerServer.js';
 import {createEndpointClient} from './endpointClient.js';
@@ -150,7 +151,7 @@
 	};
 
 	const forward = createForwardRequest({
-		clock, random, dispatcher, client: createEndpointClient(connectionPool, adapter.headers), retryBudgetOf, log,
+		clock, random, dispatcher, client: createEndpointClient(connectionPool, adapter.headers, afterNextPoll), retryBudgetOf, afterNextPoll, log,
 	});
 	const callerServer = await startCallerServer({
 		address: listen.callers,
