Gateway: an at-most-once request that is not written yet ends when its caller leaves

Such a request went on after a disconnect, because its caller can't safely repeat it. That also held while its connection to the endpoint was still being opened, or opened anew after a refusal, up to 450 ms each; then it was written for a caller that was known to have gone. It goes on only once it was written now; before, it ends as not run. The test of it failed before (at-most-once only); one that keeps a written request going passed before and after.

--- a/packages/gateway/src/forwardRequest.ts
+++ b/packages/gateway/src/forwardRequest.ts
@@ -259,8 +259,8 @@
 				},
 				onDisconnected() {
 					logCallerGone(forwarded, progress);
-					// An at-most-once request is not aborted before its response, because its caller can't safely repeat it.
-					const isAborted = isResolved || route.kind === 'idempotent';
+					// An at-most-once request that was written is not aborted before its response, because its caller can't safely repeat it.
+					const isAborted = isResolved || route.kind === 'idempotent' || progress.writtenAtMs === undefined;
 					settle({kind: 'gone'});
 					return isAborted ? 'end' : 'continue';
 				},
