--- a/packages/gateway/src/auxiliaryServer.ts
+++ b/packages/gateway/src/auxiliaryServer.ts
@@ -1,5 +1,6 @@
 /**
- * HTTP server for auxiliary GET requests: readiness checks, look-ups and metrics.
+ * HTTP server for auxiliary GET requests: readiness checks, look-ups and metrics. Requests of callers that have left are
+ * not handled, so that an instance short of processor time serves those that still wait.
  */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
@@ -7,6 +8,8 @@
 import {processEvents} from '@filbertwell/logger/events/processEvents';
 import type {Logger} from '@filbertwell/logger/logger';
 import type {SocketAddress} from '@filbertwell/types/place';
+import {isDisconnected} from '@filbertwell/utils/disconnected';
+import {afterNextPoll} from '@filbertwell/utils/pollBarrier';
 
 /** A response with a text body. */
 export type TextResponse = {
@@ -40,6 +43,11 @@
 
 	const server = createServer({keepAliveTimeout: keepAliveMs, noDelay: true}, async (request, response) => {
 		request.resume();
+		await afterNextPoll();
+		if (isDisconnected(request.socket)) {
+			return;
+		}
+
 		const [path, query] = (request.url ?? '/').split('?', 2);
 		const result = request.method === 'GET'
 			? await handleSafely(path!, new URLSearchParams(query))
--- a/packages/peer-protocol/src/__tests__/peerChannel.test.ts
+++ b/packages/peer-protocol/src/__tests__/peerChannel.test.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {silentLogger} from '@filbertwell/logger/logger';
 import {firstValueFrom} from 'rxjs';
 import {afterEach, expect, test} from 'vitest';
@@ -129,3 +131,23 @@
 	const answer = await post(server, '{}', '/other');
 	expect(answer.status).toBe(404);
 });
+
+/** A process short of processor time prepared answers, large ones too, for peers that had given up. */
+test('a call whose close was received before it was read is not handled', async () => {
+	const handled: string[] = [];
+	const server = await openChannel(({hash}) => {
+		handled.push(hash);
+		return {content: 'x'};
+	});
+	const callText = (hash: string) => JSON.stringify({
+		jsonrpc: '2.0', id: 1, method: 'configuration.part', params: {hash},
+	});
+	const socket = connect(server.address.port, '127.0.0.1');
+	await once(socket, 'connect');
+	const body = callText('gone');
+	socket.write(`POST /rpc HTTP/1.1\r\nHost: x\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+	socket.destroy();
+	const {status} = await post(server, callText('waiting'));
+	expect(status).toBe(200);
+	expect(handled).toEqual(['waiting']);
+});
--- a/packages/peer-protocol/src/rpcServer.ts
+++ b/packages/peer-protocol/src/rpcServer.ts
@@ -1,5 +1,6 @@
 /**
- * Answers JSON-RPC requests of peers over HTTP.
+ * Answers JSON-RPC requests of peers over HTTP. Requests of peers that have given up are not handled: their answers can be
+ * large, and nobody reads them.
  */
 import {Buffer} from 'node:buffer';
 import {
@@ -8,6 +9,8 @@
 import {promisify} from 'node:util';
 import {gzip} from 'node:zlib';
 import {JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
+import {isDisconnected} from '@filbertwell/utils/disconnected';
+import {afterNextPoll} from '@filbertwell/utils/pollBarrier';
 import * as z from 'zod';
 import {readBody} from './httpBody.js';
 import {
@@ -97,6 +100,11 @@
 		}
 
 		traffic.countRpcIn(Buffer.byteLength(body.value));
+		await afterNextPoll();
+		if (isDisconnected(request.socket)) {
+			return;
+		}
+
 		const rpcResponse = await dispatcher.receiveJSON(body.value);
 		send(response, await encode(request, JSON.stringify(rpcResponse)), traffic);
 	};
