Entry: a close that was received before the write keeps the request from the upstream

The entry had the fault of the gateway, and its at-most-once requests ignored a disconnect altogether: they claimed their key, waited in the queue for a slot and were sent, as long as the deadline allowed. Status queries read the table for callers that had left.

Now an attempt is written only after one more poll of the event loop, when its connection is open; an at-most-once request checks its caller before the claim and after it, and leaves the queue, as long as it is not written. Then it ends as not run and its claim is released, so that a resend may run. Once written it goes on, and its answer is kept, as before. While another attempt holds the claim, the table is not polled for a caller that has left. A connection that fails before the write has not run the request.

--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -18,6 +18,9 @@
 import {outcomeHeader, requestIdHeader, tenantHeader} from '@filbertwell/types/headers';
 import type {SocketAddress} from '@filbertwell/types/place';
 import type {Clock} from '@filbertwell/utils/clock';
+import {isDisconnected} from '@filbertwell/utils/disconnected';
+import {afterNextPoll} from '@filbertwell/utils/pollBarrier';
+import {createCallerPresence} from './callerPresence.js';
 import {problemResponse, sendLocalResponse} from './localResponse.js';
 import {lookupResponse, type FindEntries, normalizeAddress} from './lookupHandler.js';
 import {orderStatusResponse} from './orderStatus.js';
@@ -76,6 +79,13 @@
 	readonly close: () => Promise<void>;
 };
 
+/** How the caller sent a request, and whether it still waits. */
+type RequestContext = {
+	readonly expectsContinue: boolean;
+	/** Aborted when the caller has left. */
+	readonly callerLeft: AbortSignal;
+};
+
 /** Time in which a caller that has just connected sends its first request. */
 const firstRequestMs = 400;
 
@@ -114,6 +124,7 @@
 export const createCallerServer = async (options: CallerServerOptions): Promise<CallerServer> => {
 	const {settings, orders, lookup, currentConfiguration, isServing, log} = options;
 	const handleRequest = createRequestHandler(options);
+	const callers = createCallerPresence();
 	let cachedIndex: {readonly configuration: Configuration; readonly index: ServiceIndex} | undefined;
 	let inProgress = 0;
 	let isClosing = false;
@@ -146,12 +157,17 @@
 			return false;
 		}
 
+		await afterNextPoll();
+		if (isDisconnected(request.socket)) {
+			return true;
+		}
+
 		const tenant = request.headers[tenantHeader];
 		sendLocalResponse(response, await orderStatusResponse(orders, parameters, typeof tenant === 'string' ? tenant : defaultTenant));
 		return true;
 	};
 
-	const handle = async (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): Promise<void> => {
+	const handle = async (request: IncomingMessage, response: ServerResponse, {expectsContinue, callerLeft}: RequestContext): Promise<void> => {
 		const configuration = currentConfiguration();
 		if (isClosing || !isServing()) {
 			response.shouldKeepAlive = false;
@@ -178,12 +194,12 @@
 			response.writeContinue();
 		}
 
-		await handleRequest(request, response, parsed.value);
+		await handleRequest(request, response, parsed.value, callerLeft);
 	};
 
-	const handleSafely = async (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): Promise<void> => {
+	const handleSafely = async (request: IncomingMessage, response: ServerResponse, context: RequestContext): Promise<void> => {
 		try {
-			await handle(request, response, expectsContinue);
+			await handle(request, response, context);
 		} catch (error) {
 			log(processEvents.unexpectedError, {request: String(request.headers[requestIdHeader]), error: error instanceof Error ? error.stack : String(error)});
 			request.socket.resetAndDestroy();
@@ -198,11 +214,13 @@
 		}
 
 		inProgress += 1;
+		const {left, end} = callers.watch(request.socket);
 		response.once('close', () => {
 			inProgress -= 1;
+			end();
 		});
 		request.on('error', () => undefined);
-		void handleSafely(request, response, expectsContinue);
+		void handleSafely(request, response, {expectsContinue, callerLeft: left});
 	};
 
 	const server: Server = createServer({
@@ -215,6 +233,7 @@
 		serve(request, response, false);
 	});
 	server.maxConnections = settings.maximumConnections;
+	server.on('connection', callers.add);
 	server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
 		serve(request, response, true);
 	});
--- a/packages/entry/src/orderDispatch.ts
+++ b/packages/entry/src/orderDispatch.ts
@@ -1,10 +1,12 @@
 /**
  * Submits at-most-once requests to `Orders`, which claims the idempotency key and calls back for
- * the single dispatch. The dispatch continues if the caller disconnects, because its response is stored.
+ * the single dispatch. A dispatch that has been written continues if the caller disconnects, because its response is stored;
+ * before that, it ends as not run.
  */
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {DispatchOutcome, KeptAnswer, Orders} from '@filbertwell/orders/orders';
+import type {Send} from '@filbertwell/routing/attempt';
 import type {Router} from '@filbertwell/routing/createRouter';
 import {outcomeHeader} from '@filbertwell/types/headers';
 import type {Clock} from '@filbertwell/utils/clock';
@@ -24,6 +26,8 @@
 	readonly orders: Orders;
 	readonly parsed: ParsedRequest;
 	readonly startedAtMs: number;
+	/** Aborted when the caller has left. */
+	readonly callerLeft: AbortSignal;
 	readonly request: UpstreamRequest;
 };
 
@@ -54,6 +58,36 @@
 	}
 };
 
+/** Sends attempts until the caller leaves. The signal is aborted when the caller has left while no attempt is written. */
+const createCancellableSend = ({upstreams, request, callerLeft}: OrderContext): {readonly signal: AbortSignal; readonly send: Send<UpstreamResponse>} => {
+	const cancellation = new AbortController();
+	let isWritten = false;
+	const cancelUnlessWritten = () => {
+		if (callerLeft.aborted && !isWritten) {
+			cancellation.abort();
+		}
+	};
+
+	callerLeft.addEventListener('abort', cancelUnlessWritten);
+	return {
+		signal: cancellation.signal,
+		async send(endpoint, attempt) {
+			const outcome = await upstreams.send(endpoint, attempt, {
+				...request,
+				onWrite() {
+					isWritten = true;
+				},
+			});
+			if (outcome.kind === 'not-run') {
+				isWritten = false;
+				cancelUnlessWritten();
+			}
+
+			return outcome;
+		},
+	};
+};
+
 const sendStoredResponse = (response: ServerResponse, {status, headers, body}: KeptAnswer, isReplayed: boolean): void => {
 	if (response.destroyed) {
 		return;
@@ -71,19 +105,24 @@
  * @returns Kind of the outcome, for the metrics; never rejects.
  */
 export const submitOrder = async (context: OrderContext, response: ServerResponse): Promise<string> => {
-	const {clock, router, upstreams, orders, parsed, startedAtMs, request} = context;
+	const {clock, router, orders, parsed, startedAtMs, callerLeft, request} = context;
 	const deadlineAtMs = startedAtMs + parsed.deadlineMs;
 	const key = parsed.idempotencyKey ?? '';
 
 	const dispatch = async (): Promise<DispatchOutcome> => {
+		if (callerLeft.aborted) {
+			return {kind: 'not-run', reason: 'the caller has left'};
+		}
+
+		const {signal, send} = createCancellableSend(context);
 		const outcome = await router.route({
 			service: parsed.service.name,
 			route: parsed.route,
 			tenant: parsed.tenant,
 			deadlineAtMs,
-			signal: new AbortController().signal,
+			signal,
 			replayable: true,
-		}, async (endpoint, attempt) => upstreams.send(endpoint, attempt, request));
+		}, send);
 		switch (outcome.kind) {
 			case 'answered': {
 				return toDispatchOutcome(outcome.answer, parsed.id, deadlineAtMs - clock());
@@ -108,6 +147,7 @@
 		attempt: parsed.attempt,
 		claimOutage: parsed.route.claimOutage,
 		remainingMs: deadlineAtMs - clock(),
+		isAbandoned: () => callerLeft.aborted,
 		dispatch,
 	});
 	if (outcome.kind === 'answered' || outcome.kind === 'replayed') {
--- a/packages/entry/src/requestBody.ts
+++ b/packages/entry/src/requestBody.ts
@@ -5,7 +5,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import {createByteCollector} from '@filbertwell/utils/byteCollector';
-import type {UpstreamBody} from './upstreamClient.js';
+import type {UpstreamBody} from './upstreamBody.js';
 
 /** Result of reading or preparing a body. */
 export type BodyOutcome =
--- a/packages/entry/src/requestHandler.ts
+++ b/packages/entry/src/requestHandler.ts
@@ -10,6 +10,7 @@
 import type {Router} from '@filbertwell/routing/createRouter';
 import type {RoutedRequest} from '@filbertwell/routing/routedRequest';
 import type {Clock} from '@filbertwell/utils/clock';
+import {afterNextPoll} from '@filbertwell/utils/pollBarrier';
 import {type LocalResponse, problemResponse, sendLocalResponse} from './localResponse.js';
 import {submitOrder} from './orderDispatch.js';
 import {routeFailureResponse} from './failureResponse.js';
@@ -17,7 +18,8 @@
 import {refusalOutcome, type ParsedRequest} from './requestParser.js';
 import {callerHeaders, relayResponse} from './responseRelay.js';
 import {upstreamHeaders} from './upstreamHeaders.js';
-import type {UpstreamBody, UpstreamClient, UpstreamRequest} from './upstreamClient.js';
+import type {UpstreamBody} from './upstreamBody.js';
+import type {UpstreamClient, UpstreamRequest} from './upstreamClient.js';
 
 /** Dependencies of the request handler. */
 export type RequestHandlerOptions = {
@@ -29,8 +31,15 @@
 	readonly log: Logger;
 };
 
-/** Handles a parsed request until its response has ended. */
-export type RequestHandler = (request: IncomingMessage, response: ServerResponse, parsed: ParsedRequest) => Promise<void>;
+/** Handles a parsed request until its response has ended. The signal is aborted when its caller has left. */
+export type RequestHandler = (request: IncomingMessage, response: ServerResponse, parsed: ParsedRequest, callerLeft: AbortSignal) => Promise<void>;
+
+/** A request whose body is ready to be sent. */
+type PreparedRequest = {
+	readonly body: UpstreamBody;
+	readonly startedAtMs: number;
+	readonly callerLeft: AbortSignal;
+};
 
 const bodyTooLargeResponse = ({service}: ParsedRequest): LocalResponse => ({
 	...problemResponse(413, 'not-run', 'bodyTooLarge', `the body is over the ${service.maximumBodyBytes} bytes that service "${service.name}" takes`),
@@ -72,8 +81,8 @@
 		mayReuseConnection: parsed.route.kind === 'idempotent',
 	});
 
-	const routeIdempotent = async (request: IncomingMessage, response: ServerResponse, parsed: ParsedRequest, prepared: {readonly body: UpstreamBody; readonly startedAtMs: number}) => {
-		const {body, startedAtMs} = prepared;
+	const routeIdempotent = async (request: IncomingMessage, response: ServerResponse, parsed: ParsedRequest, prepared: PreparedRequest) => {
+		const {body, startedAtMs, callerLeft} = prepared;
 		const cancellation = new AbortController();
 		const onClose = () => {
 			if (!response.writableFinished) {
@@ -82,6 +91,7 @@
 		};
 
 		response.once('close', onClose);
+		callerLeft.addEventListener('abort', onClose);
 		let isOverLimit = false;
 		if (body.kind === 'streamed') {
 			limitStream(request, parsed.service.maximumBodyBytes, () => {
@@ -114,9 +124,9 @@
 		respond(response, parsed, {...answer, outcome: mayHaveRun ? 'in-doubt' : answer.outcome, closesConnection: body.kind === 'streamed'});
 	};
 
-	return async (request, response, parsed) => {
+	return async (request, response, parsed, callerLeft) => {
 		const startedAtMs = clock();
-		response.once('close', () => {
+		callerLeft.addEventListener('abort', () => {
 			if (!response.writableFinished) {
 				log(entryEvents.callerDisconnected, {
 					request: parsed.id, service: parsed.service.name, route: parsed.route.name, readMsAgo: Math.round(clock() - startedAtMs),
@@ -140,12 +150,19 @@
 		}
 
 		if (!isAtMostOnce) {
-			await routeIdempotent(request, response, parsed, {body: bodyOutcome.body, startedAtMs});
+			await routeIdempotent(request, response, parsed, {body: bodyOutcome.body, startedAtMs, callerLeft});
+			return;
+		}
+
+		// The close of the caller's connection may have been received with the request.
+		await afterNextPoll();
+		if (callerLeft.aborted) {
+			countOutcome(parsed, 'cancelled');
 			return;
 		}
 
 		const outcome = await submitOrder({
-			clock, router, upstreams, orders, parsed, startedAtMs, request: upstreamRequest(request, parsed, bodyOutcome.body),
+			clock, router, upstreams, orders, parsed, startedAtMs, callerLeft, request: upstreamRequest(request, parsed, bodyOutcome.body),
 		}, response);
 		countOutcome(parsed, outcome);
 		recordLatency(parsed, startedAtMs);
--- a/packages/entry/src/upstreamClient.ts
+++ b/packages/entry/src/upstreamClient.ts
@@ -14,24 +14,18 @@
 	Agent, type ClientRequest, type IncomingMessage, request as sendRequest,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import type {Readable} from 'node:stream';
 import type {Attempt, AttemptOutcome, Completion} from '@filbertwell/routing/attempt';
 import {
 	deadlineHeader, loadHeader, requestIdHeader, upstreamOutcomeHeader,
 } from '@filbertwell/types/headers';
 import type {Endpoint} from '@filbertwell/types/intent';
 import type {LoadReport} from '@filbertwell/types/loadReport';
+import {afterNextPoll} from '@filbertwell/utils/pollBarrier';
 import {discardBody} from './discardBody.js';
 import {headerBytes} from './headerBytes.js';
 import {createLoadReportParser} from './loadReportParser.js';
-import {forwardableTrailers, responseHeadProblem} from './messageHead.js';
-
-/** Body of a request for an upstream. */
-export type UpstreamBody =
-	| {readonly kind: 'none'}
-	| {readonly kind: 'buffered'; readonly content: Uint8Array}
-	/** Can be sent only once. `trailers` is called when the stream has ended. */
-	| {readonly kind: 'streamed'; readonly stream: Readable; readonly trailers: () => readonly string[]};
+import {responseHeadProblem} from './messageHead.js';
+import {type UpstreamBody, writeBody} from './upstreamBody.js';
 
 /** A request for an upstream. */
 export type UpstreamRequest = {
@@ -42,6 +36,8 @@
 	readonly body: UpstreamBody;
 	/** Whether the request may be sent on a keep-alive connection. */
 	readonly mayReuseConnection: boolean;
+	/** Called before the first byte is written. Until then the request can't have run. */
+	readonly onWrite?: () => void;
 };
 
 /** An upstream's response whose body has not been read. */
@@ -88,32 +84,6 @@
 
 const formatError = (endpoint: Endpoint, error: NodeJS.ErrnoException): string => `${endpoint.id}: ${error.code ?? error.message}`;
 
-const writeBody = (outgoing: ClientRequest, body: UpstreamBody, countBytes: Attempt['countBytes']): void => {
-	if (body.kind === 'none') {
-		outgoing.end();
-		return;
-	}
-
-	if (body.kind === 'buffered') {
-		countBytes(body.content.length, 0);
-		outgoing.end(body.content);
-		return;
-	}
-
-	const {stream, trailers} = body;
-	stream.on('data', (chunk: Uint8Array) => {
-		countBytes(chunk.length, 0);
-	});
-	stream.once('end', () => {
-		const forwarded = forwardableTrailers(trailers());
-		if (forwarded.length > 0) {
-			outgoing.addTrailers(forwarded);
-		}
-	});
-	stream.once('error', () => outgoing.destroy());
-	stream.pipe(outgoing);
-};
-
 /**
  * Creates a client with its own pool of keep-alive connections.
  *
@@ -160,20 +130,32 @@
 		}
 
 		let message: IncomingMessage | undefined;
-		/** Whether the connection is open; from then on, the request may have been written. */
 		let isConnected = false;
+		/** Whether the request may have been written, and so may have run. */
+		let isWritten = false;
 		let interimResponses = 0;
 		let complete: (completion: Completion) => void = () => undefined;
 
 		const onAbort = () => {
-			resolve({kind: 'cancelled', written: isConnected});
+			resolve({kind: 'cancelled', written: isWritten});
 			complete('cancelled');
 			message?.destroy();
 			outgoing.destroy();
 		};
 
-		const onConnected = () => {
+		/** Writes the request unless it was cancelled; the caller may have left while it waited for the connection. */
+		const onConnected = async (socket: Socket) => {
 			isConnected = true;
+			await afterNextPoll();
+			if (signal.aborted || outgoing.destroyed) {
+				return;
+			}
+
+			socket.off('data', closeOnData);
+			isWritten = true;
+			request.onWrite?.();
+			countBytes(headerBytes(request.headers), 0);
+			writeBody(outgoing, request.body, countBytes);
 		};
 
 		const connectTimer = setTimeout(() => {
@@ -187,6 +169,13 @@
 			signal.removeEventListener('abort', onAbort);
 		};
 
+		/** A connection that fails before the request was written may be an idle one that the upstream has just closed. */
+		const failureOf = (reason: string): AttemptOutcome<UpstreamResponse> => isWritten
+			? {kind: 'failed', reason}
+			: {
+				kind: 'not-run', cause: isConnected ? 'refused' : 'unreachable', reason, report: undefined,
+			};
+
 		const toOutcome = (incoming: IncomingMessage): AttemptOutcome<UpstreamResponse> => {
 			const reportText = firstHeaderValue(incoming, loadHeader);
 			const report = reportText === undefined ? undefined : parseLoadReport(reportText);
@@ -215,11 +204,12 @@
 
 		signal.addEventListener('abort', onAbort);
 		outgoing.once('socket', socket => {
-			socket.off('data', closeOnData);
 			if (socket.connecting) {
-				socket.once('connect', onConnected);
+				socket.once('connect', () => {
+					void onConnected(socket);
+				});
 			} else {
-				onConnected();
+				void onConnected(socket);
 			}
 		});
 		outgoing.on('information', () => {
@@ -235,8 +225,8 @@
 			const echoedId = firstHeaderValue(incoming, requestIdHeader);
 			const isForeign = echoedId !== undefined && echoedId !== headerValueOf(request.headers, requestIdHeader);
 			const problem = isForeign ? `it answers request ${echoedId}` : responseHeadProblem(incoming);
-			if (problem !== undefined) {
-				outgoing.destroy(new Error(problem));
+			if (problem !== undefined || !isWritten) {
+				outgoing.destroy(new Error(problem ?? 'an answer arrived before the request was written'));
 				return;
 			}
 
@@ -244,17 +234,11 @@
 		});
 		outgoing.on('error', (error: NodeJS.ErrnoException) => {
 			cleanUp();
-			resolve(isConnected
-				? {kind: 'failed', reason: formatError(endpoint, error)}
-				: {
-					kind: 'not-run', cause: 'unreachable', reason: formatError(endpoint, error), report: undefined,
-				});
+			resolve(failureOf(formatError(endpoint, error)));
 		});
 		outgoing.once('close', () => {
-			resolve({kind: 'failed', reason: `${endpoint.id}: the connection closed without an answer`});
+			resolve(failureOf(`${endpoint.id}: the connection closed without an answer`));
 		});
-		countBytes(headerBytes(request.headers), 0);
-		writeBody(outgoing, request.body, countBytes);
 	});
 
 	const fetchReport: UpstreamClient['fetchReport'] = async endpoint => new Promise(resolve => {
--- a/packages/entry/src/upstreamHeaders.ts
+++ b/packages/entry/src/upstreamHeaders.ts
@@ -6,7 +6,7 @@
 import {endToEndHeaders} from './hopByHopHeaders.js';
 import {normalizeAddress} from './lookupHandler.js';
 import type {ParsedRequest} from './requestParser.js';
-import type {UpstreamBody} from './upstreamClient.js';
+import type {UpstreamBody} from './upstreamBody.js';
 
 /** Headers of the caller that are dropped because the entry sets its own values or because they describe the framing of the caller's request. */
 const replacedHeaders: ReadonlySet<string> = new Set([
--- a/packages/measure/src/experiments/orderRate.ts
+++ b/packages/measure/src/experiments/orderRate.ts
@@ -54,6 +54,7 @@
 	fingerprint: key,
 	attempt: 1,
 	claimOutage: 'refuse',
+	isAbandoned: () => false,
 	remainingMs: 5000,
 	dispatch: async () => ({kind: 'answered', answer: {status: 200, headers: [], body: 'b2s='.repeat(50)}}),
 });
--- a/packages/orders/src/__tests__/claimModel.ts
+++ b/packages/orders/src/__tests__/claimModel.ts
@@ -215,7 +215,7 @@
 			},
 		}]);
 		outcomes.set(claimer, await submit({
-			service: 's', tenant: 't', key: 'k', fingerprint: 'f', ...scenario.attempts[index]!, dispatch: createDispatch(claimer),
+			service: 's', tenant: 't', key: 'k', fingerprint: 'f', ...scenario.attempts[index]!, isAbandoned: () => false, dispatch: createDispatch(claimer),
 		}));
 	};
 
--- a/packages/orders/src/orderFlow.ts
+++ b/packages/orders/src/orderFlow.ts
@@ -247,6 +247,10 @@
 			}
 
 			await waitForChange(attempt.rowKey, Math.min(pollMs, remainingMs)); // eslint-disable-line no-await-in-loop -- polls until the attempt that holds the claim finishes
+			if (order.isAbandoned()) {
+				return inDoubt(order, 'another attempt holds the claim, and the caller has left');
+			}
+
 			pollMs = Math.min(limits.maximumPollMs, pollMs * 2);
 		}
 	};
--- a/packages/orders/src/orders.ts
+++ b/packages/orders/src/orders.ts
@@ -30,6 +30,8 @@
 	readonly claimOutage: 'refuse' | 'firstAttempt';
 	/** Milliseconds until the caller stops waiting. */
 	readonly remainingMs: number;
+	/** Whether the caller has left, so that nobody waits for the outcome any more. */
+	readonly isAbandoned: () => boolean;
 	/** Runs the request. Called at most once, with the claim held unless `claimOutage` allows a first attempt without it. */
 	readonly dispatch: () => Promise<DispatchOutcome>;
 };
