Entry: pipelined requests of a caller that has left are not in progress for ever

Node emits no close event for a response that waits for an earlier one on its connection. If its caller left, the request counted as in progress until the process ended, and a planned stop logged it as cut off. It ends with the caller now. Test: two pipelined requests, 20 callers, 20 requests in progress afterwards before the change, none now.

--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -215,10 +215,18 @@
 
 		inProgress += 1;
 		const {left, end} = callers.watch(request.socket);
-		response.once('close', () => {
-			inProgress -= 1;
-			end();
-		});
+		let hasEnded = false;
+		const onEnded = () => {
+			if (!hasEnded) {
+				hasEnded = true;
+				inProgress -= 1;
+				end();
+			}
+		};
+
+		response.once('close', onEnded);
+		// A response that waits for an earlier one on its connection emits no `close`.
+		left.addEventListener('abort', onEnded);
 		request.on('error', () => undefined);
 		void handleSafely(request, response, {expectsContinue, callerLeft: left});
 	};
