Upstream client: tests of attempts that end before they are written

An attempt of any cause that is cancelled before the event loop has polled is not written, and a request on a kept connection that the upstream has closed has not run.

--- a/packages/entry/src/__tests__/upstreamClient.test.ts
+++ b/packages/entry/src/__tests__/upstreamClient.test.ts
@@ -5,6 +5,7 @@
 import {
 	type AddressInfo, createServer, type Server, type Socket,
 } from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import type {Attempt} from '@filbertwell/routing/attempt';
 import {requestIdHeader, upstreamOutcomeHeader} from '@filbertwell/types/headers';
 import type {Endpoint} from '@filbertwell/types/intent';
@@ -56,11 +57,12 @@
 	const attempt: Attempt = {
 		number: 1, cause: 'first', remainingMs: timeoutMs, signal: AbortSignal.timeout(timeoutMs), countBytes: () => undefined,
 	};
+	const sendAttempt = async (id: string, signal = attempt.signal) => client.send(endpoint, {...attempt, signal}, {
+		method: 'GET', path: '/', headers: ['host', 'shop.example', requestIdHeader, id], body: {kind: 'none'}, mayReuseConnection: true,
+	});
 	/** Sends a request with an id and returns the body of its answer, or the kind of the failure. */
 	const send = async (id: string): Promise<string> => {
-		const outcome = await client.send(endpoint, attempt, {
-			method: 'GET', path: '/', headers: ['host', 'shop.example', requestIdHeader, id], body: {kind: 'none'}, mayReuseConnection: true,
-		});
+		const outcome = await sendAttempt(id);
 		if (outcome.kind !== 'answered') {
 			return outcome.kind;
 		}
@@ -75,7 +77,9 @@
 		return text;
 	};
 
-	return {send, connections: () => connections, closedConnections: () => closedConnections};
+	return {
+		send, sendAttempt, connections: () => connections, closedConnections: () => closedConnections,
+	};
 };
 
 test('a second copy of an answer, sent when the connection is in use again, is not taken for the next answer', async () => {
@@ -105,6 +109,43 @@
 	});
 });
 
+describe('an attempt on a kept connection', () => {
+	/** Starts an upstream that records the numbers of requests; the first answer leaves a connection to reuse. */
+	const startWithKeptConnection = async () => {
+		const received: number[] = [];
+		const sockets: Socket[] = [];
+		const upstream = await start((socket, number) => {
+			received.push(number);
+			sockets.push(socket);
+			socket.write(answerTo('a'));
+		});
+		expect(await upstream.send('a')).toBe('a');
+		return {...upstream, received, socket: sockets[0]!};
+	};
+
+	// Retries, hedges and probes are attempts too; they were written although their caller had just left.
+	test('that is cancelled before the event loop has polled is not written', async () => {
+		const {sendAttempt, received} = await startWithKeptConnection();
+		const cancellation = new AbortController();
+		const outcome = sendAttempt('b', cancellation.signal);
+		setImmediate(() => {
+			cancellation.abort();
+		});
+		expect(await outcome).toEqual({kind: 'cancelled', written: false});
+		await delay(50);
+		expect(received).toEqual([1]);
+	});
+
+	// The request was written to the closed connection, and it was unknown whether it had run.
+	test('has not run if the upstream had closed the connection before', async () => {
+		const {sendAttempt, received, socket} = await startWithKeptConnection();
+		socket.destroy();
+		const outcome = await sendAttempt('b');
+		expect(outcome).toMatchObject({kind: 'not-run', cause: 'refused'});
+		expect(received).toEqual([1]);
+	});
+});
+
 describe('bytes without end', () => {
 	const endlessly = (beginning: string, piece: string) => (socket: Socket) => {
 		const write = () => {
