Tests of hostile bytes: the request that gets them is sent until it has reached the endpoint

So it was the first to reach the endpoint and got the hostile bytes itself; the request before it had run out of its 150 ms on the busy machine before it was written, and was rejected as not run, which is allowed. The test took for granted that the first request arrives. It is repeated until it does now, with the short deadline in its own header, and the request after it has the usual one. What is checked stays the same, in 400 cases.

--- a/packages/gateway/src/__tests__/hostileBytes.test.ts
+++ b/packages/gateway/src/__tests__/hostileBytes.test.ts
@@ -16,6 +16,8 @@
 
 const parameters = {seed: 32, numRuns: 400};
 const patienceMs = 3000;
+/** Deadline of requests to which the endpoint may never give a response; short, because each run waits for it. */
+const hostileDeadlineMs = 150;
 
 test('arbitrary bytes of an endpoint give its caller a response or a closed connection, and the next request its own response', async () => {
 	await fc.assert(fc.asyncProperty(arbitraryResponses('X-Id: ID\r\nX-Stamp: s\r\n'), fc.boolean(), fc.constantFrom('idempotent', 'atMostOnce'), async (message, closes, kind) => {
@@ -33,9 +35,13 @@
 			if (closes) {
 				socket.end();
 			}
-		}], {route: {kind, timeoutMs: 150, latencyTargetMs: 100}});
-		const response = await Promise.race([call(gateway.port, {method: 'POST', body: 'x'}), delay(patienceMs, 'none', {ref: false})]);
-		expect(response).not.toBe('none');
+		}], {route: {kind}});
+		// On a busy machine, the deadline can pass before the request has reached the endpoint; it is sent again then.
+		while (isHostile) { // eslint-disable-line no-unmodified-loop-condition -- the endpoint changes it
+			const response = await Promise.race([call(gateway.port, {method: 'POST', body: 'x', headers: {'x-deadline-ms': String(hostileDeadlineMs)}}), delay(patienceMs, 'none', {ref: false})]); // eslint-disable-line no-await-in-loop
+			expect(response).not.toBe('none');
+		}
+
 		const next = await Promise.race([call(gateway.port, {method: 'POST', body: 'y'}), delay(patienceMs, 'none', {ref: false})]);
 		expect(next).toMatchObject({status: 200, body: 'fine'});
 		expect(gateway.logged).not.toContain('unexpectedError');
